--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Features, run by behave against real processes."""
--- /dev/null
+++ b/packages/bench/src/borageramp_bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the systems outside borageramp."""
--- /dev/null
+++ b/packages/cli/src/borageramp_cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``borageramp``."""
+
+from borageramp_cli import main
+
+main()
--- /dev/null
+++ b/packages/cli/src/borageramp_cli/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of the command line."""
--- /dev/null
+++ b/packages/cli/src/borageramp_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The verbs, one module each."""
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of the core; import from the package itself."""
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/addresses.py
@@ -0,0 +1,97 @@
+"""The answer to a caller that asks which address to use."""
+
+import random
+from dataclasses import dataclass
+
+from borageramp_core._internal.membership import Member, Membership
+from borageramp_core._internal.model import DataCentre, Lifecycle, Snapshot
+
+__all__ = ["Address", "AddressAnswer", "answer_addresses"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """An address of an entry.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` for callers.
+    data_centre : str
+        Where the entry runs.
+    """
+
+    address: str
+    data_centre: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AddressAnswer:
+    """Addresses in the order in which a caller should try them.
+
+    Attributes
+    ----------
+    ttl_s : float
+        How long the caller may keep the answer.
+    addresses : tuple of Address
+        The addresses, the best first.
+    """
+
+    ttl_s: float
+    addresses: tuple[Address, ...]
+
+
+def answer_addresses(
+    *,
+    membership: Membership,
+    snapshot: Snapshot,
+    data_centre: str,
+    ttl_s: float,
+    rng: random.Random,
+    now_s: float,
+) -> AddressAnswer:
+    """Choose the addresses for a caller.
+
+    Parameters
+    ----------
+    membership : Membership
+        The entries.
+    snapshot : Snapshot
+        Configuration in force.
+    data_centre : str
+        Data centre nearest to the caller; empty if unknown.
+    ttl_s : float
+        How long the caller may keep the answer.
+    rng : random.Random
+        Source of randomness, which spreads callers over entries.
+    now_s : float
+        Present time.
+
+    Returns
+    -------
+    AddressAnswer
+        Entries that serve, those in the caller's data centre first.
+    """
+    usable = [
+        m
+        for m in membership.everyone()
+        if _takes_callers(m, membership=membership, snapshot=snapshot, now_s=now_s)
+    ]
+    rng.shuffle(usable)
+    usable.sort(key=lambda m: m.listed.data_centre != data_centre)
+    addresses = tuple(
+        Address(address=m.listed.caller_address, data_centre=m.listed.data_centre)
+        for m in usable
+    )
+    return AddressAnswer(ttl_s=ttl_s, addresses=addresses)
+
+
+def _takes_callers(
+    member: Member, *, membership: Membership, snapshot: Snapshot, now_s: float
+) -> bool:
+    where = snapshot.data_centres.get(
+        member.listed.data_centre, DataCentre(name=member.listed.data_centre)
+    )
+    if member.leaving or not member.serving or where.state is Lifecycle.OUT:
+        return False
+    return membership.is_alive(member, now_s=now_s)
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/attempts.py
@@ -0,0 +1,150 @@
+"""Retries and hedges of one request, and its final verdict."""
+
+from dataclasses import dataclass
+
+from borageramp_core._internal.budget import RatioBudget
+from borageramp_core._internal.messages import Result, Submit
+from borageramp_core._internal.model import ServicePolicy
+from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.verdict import Verdict
+
+__all__ = ["AttemptPlan", "GiveUp", "Retry"]
+
+_REASONS = {
+    Result.SHED: Reason.UPSTREAM_SHED,
+    Result.TIMED_OUT: Reason.DEADLINE_PASSED,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Retry:
+    """Try another upstream.
+
+    Attributes
+    ----------
+    submit : Submit
+        The next try.
+    """
+
+    submit: Submit
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GiveUp:
+    """Tell the caller that the request has failed.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        Over all tries.
+    reason : Reason
+        Of the last try.
+    detail : str
+        One sentence for a human reader.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+
+
+class AttemptPlan:
+    """The tries of one request.
+
+    Parameters
+    ----------
+    first : Submit
+        The first try.
+    policy : ServicePolicy
+        Settings of the service.
+    retries, hedges : RatioBudget
+        Budgets of the service at this entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        first: Submit,
+        policy: ServicePolicy,
+        retries: RatioBudget,
+        hedges: RatioBudget,
+    ) -> None:
+        self.verdict = Verdict.NOT_RUN
+        self._last = first
+        self._policy = policy
+        self._retries = retries
+        self._hedges = hedges
+        self._tries = 1
+        self._excluded: frozenset[str] = frozenset()
+        retries.earn()
+        hedges.earn()
+
+    def on_result(
+        self, result: Result, *, upstream_id: str, now_s: float
+    ) -> Retry | GiveUp:
+        """Decide what follows a failed try.
+
+        Parameters
+        ----------
+        result : Result
+            How the try ended.
+        upstream_id : str
+            Where it ran.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        Retry or GiveUp
+            What to do.
+        """
+        self._raise_verdict(result.verdict)
+        self._excluded |= {upstream_id}
+        if self.may_retry(result, now_s=now_s) and self._retries.spend():
+            return Retry(submit=self._next())
+        return GiveUp(
+            verdict=self.verdict,
+            reason=_REASONS.get(result, Reason.UPSTREAM_FAILED),
+            detail=f"the last of {self._tries} tries ended as {result}",
+        )
+
+    def on_lost(self, result: Result) -> None:
+        """Take in that a try failed while another one goes on."""
+        self._raise_verdict(result.verdict)
+
+    def may_retry(self, result: Result, *, now_s: float) -> bool:
+        """Tell whether a failed try may be followed by another."""
+        if result in (Result.TIMED_OUT, Result.CANCELLED):
+            return False
+        if self._tries >= self._policy.max_attempts:
+            return False
+        if now_s >= self._last.deadline_s:
+            return False
+        return self._policy.idempotent or result.verdict is Verdict.NOT_RUN
+
+    def hedge(self, *, upstream_id: str) -> Submit | None:
+        """Return a second try beside a slow one, if that is allowed."""
+        if not self._policy.idempotent or self._tries >= self._policy.max_attempts:
+            return None
+        if not self._hedges.spend():
+            return None
+        self._excluded |= {upstream_id}
+        return self._next()
+
+    def _next(self) -> Submit:
+        self._tries += 1
+        base, _, _ = self._last.request_id.partition("#")
+        self._last = Submit(
+            request_id=f"{base}#{self._tries}",
+            class_name=self._last.class_name,
+            deadline_s=self._last.deadline_s,
+            fingerprint=self._last.fingerprint,
+            excluded=self._excluded,
+            passed_on=self._last.passed_on,
+            extra=True,
+        )
+        return self._last
+
+    def _raise_verdict(self, verdict: Verdict) -> None:
+        order = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
+        self.verdict = max(self.verdict, verdict, key=order.index)
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -0,0 +1,366 @@
+"""Placement and admission for one service at one entry.
+
+A state machine without input or output: messages and the time go in, messages
+come out. It decides where a request goes, whether it waits, and when it is
+given up.
+"""
+
+import random
+from dataclasses import dataclass
+
+from borageramp_core._internal.eligibility import Eligibility
+from borageramp_core._internal.limits import ConcurrencyLimit
+from borageramp_core._internal.load import UpstreamLoad
+from borageramp_core._internal.messages import (
+    Finished,
+    LoadReport,
+    PassOn,
+    Placed,
+    Placement,
+    Queued,
+    Refused,
+    Result,
+    Submit,
+)
+from borageramp_core._internal.model import Service, Snapshot, Upstream
+from borageramp_core._internal.outliers import Outliers
+from borageramp_core._internal.ownership import Ownership
+from borageramp_core._internal.placement import LeastEstimate, PlacementPolicy
+from borageramp_core._internal.queueing import ClassQueue
+from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.suspects import Suspects
+from borageramp_core._internal.warmup import WarmUp
+
+__all__ = ["Balancer", "Running"]
+
+LATENCY_WEIGHT = 0.05
+MIN_RETRY_AFTER_S = 0.05
+
+
+@dataclass(kw_only=True, slots=True)
+class Running:
+    """A try that an upstream has.
+
+    Attributes
+    ----------
+    request : Submit
+        The request.
+    upstream : Upstream
+        Where it runs.
+    started_at_s : float
+        Time at which it was placed.
+    """
+
+    request: Submit
+    upstream: Upstream
+    started_at_s: float
+
+
+class Balancer:
+    """Decisions on the requests for one service.
+
+    Parameters
+    ----------
+    service : Service
+        The service.
+    snapshot : Snapshot
+        The configuration that it comes from.
+    ownership : Ownership
+        Owners of upstreams, shared by all services.
+    warmup : WarmUp
+        Warm-up states, shared by all services.
+    suspects : Suspects
+        Crash suspects, shared by all services.
+    rng : random.Random
+        Source of randomness.
+    policy : PlacementPolicy, optional
+        How to choose among candidates.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: Service,
+        snapshot: Snapshot,
+        ownership: Ownership,
+        warmup: WarmUp,
+        suspects: Suspects,
+        rng: random.Random,
+        policy: PlacementPolicy | None = None,
+    ) -> None:
+        self._rng = rng
+        self._policy = policy or LeastEstimate()
+        self._suspects = suspects
+        self.loads: dict[str, UpstreamLoad] = {}
+        self.running: dict[str, Running] = {}
+        self.outliers = Outliers(max_share=service.policy.eject_max_share)
+        self.queue = ClassQueue(policy=service.policy)
+        self.limit = ConcurrencyLimit()
+        self.latency_s = 0.0
+        self._queued_at_s: dict[str, float] = {}
+        self.eligibility = Eligibility(
+            ownership=ownership,
+            warmup=warmup,
+            suspects=suspects,
+            outliers=self.outliers,
+            loads=self.loads,
+            running=self.running,
+        )
+        self.apply(service, snapshot)
+
+    def apply(self, service: Service, snapshot: Snapshot) -> None:
+        """Put a new revision of the service in force."""
+        self.service = service
+        self.snapshot = snapshot
+        known = {u.id: u for u in service.upstreams}
+        for upstream in service.upstreams:
+            self.loads.setdefault(upstream.id, UpstreamLoad(slots=upstream.slots))
+        for upstream_id in [k for k in self.loads if k not in known]:
+            del self.loads[upstream_id]
+        self.outliers.max_share = service.policy.eject_max_share
+        self.outliers.keep_only(known)
+        self.queue.apply(service.policy)
+        self.eligibility.apply(service, snapshot)
+
+    def submit(self, request: Submit, *, now_s: float) -> Placement:
+        """Decide on a request.
+
+        Parameters
+        ----------
+        request : Submit
+            The request.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        Placed, PassOn, Queued or Refused
+            The decision.
+        """
+        refused = self._refuse_early(request, now_s=now_s)
+        if refused is not None:
+            return refused
+        if self.queue.ahead_of(request.class_name) == 0:
+            decision = self._place(request, now_s=now_s)
+            if not isinstance(decision, Queued):
+                return decision
+        return self._enqueue(request, now_s=now_s)
+
+    def _refuse_early(self, request: Submit, *, now_s: float) -> Refused | None:
+        if self._suspects.is_condemned(request.fingerprint, now_s=now_s):
+            return Refused(
+                request=request,
+                reason=Reason.CRASHES_UPSTREAMS,
+                detail="upstreams died while they ran this request",
+                retry_after_s=Suspects.KEEP_S,
+            )
+        if request.deadline_s <= now_s:
+            return Refused(
+                request=request,
+                reason=Reason.DEADLINE_PASSED,
+                detail="the deadline has passed",
+                retry_after_s=MIN_RETRY_AFTER_S,
+            )
+        return None
+
+    def _place(
+        self, request: Submit, *, now_s: float
+    ) -> Placed | PassOn | Queued | Refused:
+        found = self.eligibility.find(request, now_s=now_s)
+        self.limit.set_ceiling(found.slots)
+        if found.candidates and len(self.running) < self.limit.value:
+            choice = self._policy.choose(found.candidates, rng=self._rng, now_s=now_s)
+            return self._start(
+                request,
+                choice.candidate.upstream,
+                choice.why,
+                len(found.candidates),
+                now_s=now_s,
+            )
+        if found.owners and not found.usable:
+            member = self._rng.choice(found.owners)
+            return PassOn(request=request, member=member, purpose=found.purpose)
+        if not found.usable and not found.pending:
+            return Refused(
+                request=request,
+                reason=Reason.NO_UPSTREAM,
+                detail=found.blocked,
+                retry_after_s=1.0,
+            )
+        return Queued(request=request, position=len(self.queue))
+
+    def _start(
+        self,
+        request: Submit,
+        upstream: Upstream,
+        why: str,
+        candidates: int,
+        *,
+        now_s: float,
+    ) -> Placed:
+        self.loads[upstream.id].in_flight += 1
+        self.running[request.request_id] = Running(
+            request=request, upstream=upstream, started_at_s=now_s
+        )
+        queued_at_s = self._queued_at_s.pop(request.request_id, now_s)
+        return Placed(
+            request=request,
+            upstream=upstream,
+            candidates=candidates,
+            why=why,
+            waited_s=now_s - queued_at_s,
+        )
+
+    def _enqueue(self, request: Submit, *, now_s: float) -> Queued | Refused:
+        wait_s = self.expected_wait_s(request.class_name)
+        if now_s + wait_s + self.latency_s > request.deadline_s:
+            return Refused(
+                request=request,
+                reason=Reason.DEADLINE_UNREACHABLE,
+                detail=f"expected wait of {wait_s:.3f} s passes the deadline",
+                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+            )
+        if len(self.queue) >= self.service.policy.queue_limit:
+            return Refused(
+                request=request,
+                reason=Reason.OVERLOADED,
+                detail="the queue is full",
+                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+            )
+        position = self.queue.ahead_of(request.class_name)
+        self.queue.push(request)
+        self._queued_at_s[request.request_id] = now_s
+        return Queued(request=request, position=position)
+
+    def expected_wait_s(self, class_name: str) -> float:
+        """Estimate the time that a new request of a class would wait."""
+        width = max(1, self.limit.value)
+        return self.queue.ahead_of(class_name) * self.latency_s / width
+
+    def finish(self, finished: Finished, *, now_s: float) -> list[Placement]:
+        """Take in the end of a try.
+
+        Returns
+        -------
+        list of Placed, PassOn or Refused
+            Decisions on requests that waited.
+        """
+        running = self.running.pop(finished.request_id, None)
+        if running is None:
+            return self.drain(now_s=now_s)
+        load = self.loads.get(running.upstream.id)
+        if load is not None:
+            self._learn(running, load, finished, now_s=now_s)
+        return self.drain(now_s=now_s)
+
+    def _learn(
+        self, running: Running, load: UpstreamLoad, finished: Finished, *, now_s: float
+    ) -> None:
+        upstream = running.upstream
+        load.in_flight -= 1
+        if finished.report is not None:
+            self.on_report(upstream, finished.report, now_s=now_s)
+        if finished.result is Result.ANSWERED:
+            self._learn_success(running, load, finished, now_s=now_s)
+        elif finished.result is Result.SHED:
+            self.limit.on_overload(now_s=now_s)
+            self.eligibility.on_shed(upstream, now_s=now_s)
+        elif finished.result is not Result.CANCELLED:
+            self._learn_failure(running, finished, now_s=now_s)
+
+    def _learn_success(
+        self, running: Running, load: UpstreamLoad, finished: Finished, *, now_s: float
+    ) -> None:
+        load.on_latency(finished.latency_s)
+        self.latency_s += (finished.latency_s - self.latency_s) * LATENCY_WEIGHT
+        self.outliers.on_success(running.upstream.id)
+        start_id = finished.report.start_id if finished.report is not None else ""
+        self.eligibility.on_success(running.upstream, start_id=start_id, now_s=now_s)
+        self.limit.on_good(in_flight=len(self.running) + 1)
+
+    def _learn_failure(
+        self, running: Running, finished: Finished, *, now_s: float
+    ) -> None:
+        upstream = running.upstream
+        self.outliers.on_failure(
+            upstream, service_size=len(self.service.upstreams), now_s=now_s
+        )
+        if finished.result in (Result.DIED, Result.UNREACHABLE):
+            self.eligibility.on_break(upstream, now_s=now_s)
+
+    def on_report(
+        self, upstream: Upstream, report: LoadReport, *, now_s: float
+    ) -> None:
+        """Take in what an upstream says of itself."""
+        load = self.loads.get(upstream.id)
+        if load is None:
+            return
+        load.on_report(report, now_s=now_s)
+        self.eligibility.on_leaving(upstream, report.leaving, now_s=now_s)
+        if report.in_flight > load.slots:
+            self.limit.on_overload(now_s=now_s)
+
+    def on_probe(self, upstream: Upstream, report: LoadReport, *, now_s: float) -> None:
+        """Take in the answer to a probe.
+
+        A probe can show that an upstream has restarted, but never that it is
+        warm: health endpoints lag.
+        """
+        self.on_report(upstream, report, now_s=now_s)
+        self.eligibility.on_start_id(upstream, report.start_id, now_s=now_s)
+
+    def drain(self, *, now_s: float) -> list[Placement]:
+        """Decide on waiting requests that can now go, or must be given up."""
+        decisions: list[Placement] = [
+            self._give_up(r, now_s=now_s)
+            for r in self.queue.remove_expired(now_s=now_s)
+        ]
+        while len(self.queue) > 0:
+            request = self.queue.pop()
+            if request is None:
+                break
+            decision = self._refuse_early(request, now_s=now_s) or self._place(
+                request, now_s=now_s
+            )
+            if isinstance(decision, Queued):
+                self.queue.push_front(request)
+                break
+            if not isinstance(decision, Placed):
+                self._queued_at_s.pop(request.request_id, None)
+            decisions.append(decision)
+        return decisions
+
+    def _give_up(self, request: Submit, *, now_s: float) -> Refused:
+        self._queued_at_s.pop(request.request_id, None)
+        wait_s = self.expected_wait_s(request.class_name)
+        return Refused(
+            request=request,
+            reason=Reason.DEADLINE_PASSED,
+            detail="the deadline passed while the request waited",
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+        )
+
+    def cancel(self, request_id: str) -> bool:
+        """Take a waiting request out; tell whether it was waiting."""
+        self._queued_at_s.pop(request_id, None)
+        return self.queue.remove(request_id) is not None
+
+    def on_death(self, upstream: Upstream, *, now_s: float) -> tuple[str, ...]:
+        """Record that an upstream died, with all that it was running here.
+
+        Returns
+        -------
+        tuple of str
+            Fingerprints of the requests that it was running.
+        """
+        names = tuple(
+            r.request.fingerprint
+            for r in self.running.values()
+            if r.upstream.id == upstream.id
+        )
+        self._suspects.on_death(names, upstream=upstream.id, now_s=now_s)
+        return names
+
+    def is_suspect(self, name: str, *, now_s: float) -> bool:
+        """Tell whether an upstream died under a request."""
+        return self._suspects.deaths(name, now_s=now_s) > 0
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/claims.py
@@ -0,0 +1,403 @@
+"""The table of keys that decides whether a request may be dispatched.
+
+Only the process named in a key dispatches its request, from a table in its
+memory. One process cannot disagree with itself, so this holds without clocks,
+leases or the store. A planned stop seals the table and moves it to one
+successor. After a crash the table is gone, and its keys never run again.
+"""
+
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from borageramp_core._internal.keys import BoundKey
+from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.verdict import Verdict
+
+__all__ = [
+    "Claim",
+    "ClaimState",
+    "ClaimTable",
+    "Join",
+    "KeptAnswer",
+    "Reject",
+    "Replay",
+    "Run",
+]
+
+MS_PER_S = 1000
+
+
+class ClaimState(enum.StrEnum):
+    """How far the request of a key has come.
+
+    Attributes
+    ----------
+    OPEN
+        Known, and certainly not run.
+    RUNNING
+        Being placed or run by this process.
+    UNKNOWN
+        Dispatched, and its answer lost.
+    FINISHED
+        Answered.
+    """
+
+    OPEN = "open"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+    FINISHED = "finished"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptAnswer:
+    """An answer kept for a repeat.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, bytes)
+        Headers of the answer.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, bytes], ...]
+    body: bytes
+
+
+@dataclass(kw_only=True, slots=True)
+class Claim:
+    """The record of one key.
+
+    Attributes
+    ----------
+    key : BoundKey
+        The key.
+    state : ClaimState
+        How far its request has come.
+    digest : str
+        Digest of the request, to notice a key used for two.
+    answer : KeptAnswer or None
+        The answer, if it was kept.
+    """
+
+    key: BoundKey
+    state: ClaimState
+    digest: str
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """The request may be dispatched, by the receiver of this message only."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Join:
+    """The request is running; its answer serves this repeat too."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Replay:
+    """The request was answered.
+
+    Attributes
+    ----------
+    answer : KeptAnswer
+        The first answer.
+    """
+
+    answer: KeptAnswer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reject:
+    """The request may not be dispatched.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        Whether it may have run.
+    reason : Reason
+        Why it is refused.
+    detail : str
+        One sentence for a human reader.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+
+
+Admission = Run | Join | Replay | Reject
+
+
+@dataclass(kw_only=True, slots=True)
+class _Clock:
+    """Offset of an incarnation's clock from that of this process."""
+
+    offset_ms: int
+
+
+class ClaimTable:
+    """The keys that this process answers for.
+
+    Parameters
+    ----------
+    incarnation : str
+        Name of this process.
+    started_at_s : float
+        Time at which it started; its key clock counts from there.
+    window_s : float
+        Time after its issue for which a key can be used.
+    max_claims : int
+        Most keys held.
+    max_answer_bytes : int
+        Most bytes of kept answers, over all keys.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        started_at_s: float,
+        window_s: float = 600.0,
+        max_claims: int = 100_000,
+        max_answer_bytes: int = 16_000_000,
+    ) -> None:
+        self.incarnation = incarnation
+        self.window_s = window_s
+        self._started_at_s = started_at_s
+        self._max_claims = max_claims
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
+        self._claims: OrderedDict[str, Claim] = OrderedDict()
+        self._clocks: dict[str, _Clock] = {incarnation: _Clock(offset_ms=0)}
+        self._sealed = False
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def __iter__(self) -> Iterator[Claim]:
+        return iter(list(self._claims.values()))
+
+    @property
+    def sealed(self) -> bool:
+        """Whether this process may dispatch nothing more from the table."""
+        return self._sealed
+
+    @property
+    def running(self) -> int:
+        """Requests being placed or run."""
+        return sum(1 for c in self if c.state is ClaimState.RUNNING)
+
+    def clock_ms(self, *, now_s: float) -> int:
+        """Return the time by this process's key clock, in milliseconds."""
+        return int((now_s - self._started_at_s) * MS_PER_S)
+
+    def answers_for(self, incarnation: str) -> bool:
+        """Tell whether this process decides on keys of an incarnation."""
+        return incarnation in self._clocks
+
+    def incarnations(self) -> list[str]:
+        """Return the incarnations, besides its own, that it answers for."""
+        return [name for name in self._clocks if name != self.incarnation]
+
+    def admit(self, key: BoundKey, *, digest: str, now_s: float) -> Admission:
+        """Decide on a request with a key.
+
+        Parameters
+        ----------
+        key : BoundKey
+            Its key.
+        digest : str
+            Digest of the request.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        Run, Join, Replay or Reject
+            What may be done. ``Run`` is returned at most once for a key,
+            unless :meth:`not_run` says that nothing was dispatched.
+        """
+        if key.incarnation not in self._clocks:
+            return _rejected(Reason.OWNER_GONE, "the key belongs to another process")
+        if self._age_s(key, now_s=now_s) > self.window_s:
+            return _rejected(Reason.KEY_EXPIRED, "the key is older than its window")
+        claim = self._claims.get(str(key))
+        if claim is not None:
+            return self._admit_known(claim, digest=digest)
+        return self._admit_new(key, digest=digest, now_s=now_s)
+
+    def _age_s(self, key: BoundKey, *, now_s: float) -> float:
+        clock = self._clocks[key.incarnation]
+        clock_ms = self.clock_ms(now_s=now_s) + clock.offset_ms
+        return (clock_ms - key.issued_ms) / MS_PER_S
+
+    def _admit_known(self, claim: Claim, *, digest: str) -> Admission:
+        if claim.digest != digest:
+            return Reject(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.KEY_REUSED,
+                detail="the key was used for a different request",
+            )
+        if claim.state is ClaimState.RUNNING:
+            return Join()
+        if claim.state is ClaimState.UNKNOWN:
+            return _rejected(Reason.UPSTREAM_FAILED, "the first try's answer was lost")
+        if claim.state is ClaimState.FINISHED:
+            return _finished(claim)
+        if self._sealed:
+            return _leaving()
+        claim.state = ClaimState.RUNNING
+        return Run()
+
+    def _admit_new(self, key: BoundKey, *, digest: str, now_s: float) -> Admission:
+        if self._sealed:
+            return _leaving()
+        if key.issued_ms > self._clock_of(key, now_s=now_s) + MS_PER_S:
+            return Reject(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.BAD_REQUEST,
+                detail="the key was issued in the future",
+            )
+        if len(self._claims) >= self._max_claims:
+            self.expire(now_s=now_s)
+        if len(self._claims) >= self._max_claims:
+            return Reject(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CLAIM_TABLE_FULL,
+                detail="too many keys within the window",
+            )
+        self._claims[str(key)] = Claim(key=key, state=ClaimState.RUNNING, digest=digest)
+        return Run()
+
+    def _clock_of(self, key: BoundKey, *, now_s: float) -> int:
+        return self.clock_ms(now_s=now_s) + self._clocks[key.incarnation].offset_ms
+
+    def may_dispatch(self, key: BoundKey) -> bool:
+        """Tell, right before a dispatch, whether it is still allowed."""
+        claim = self._claims.get(str(key))
+        running = claim is not None and claim.state is ClaimState.RUNNING
+        return running and not self._sealed
+
+    def not_run(self, key: BoundKey) -> None:
+        """Record that nothing was dispatched, so that a repeat may run."""
+        self._set(key, ClaimState.OPEN)
+
+    def unknown(self, key: BoundKey) -> None:
+        """Record that the answer to a dispatched request was lost."""
+        self._set(key, ClaimState.UNKNOWN)
+
+    def finished(self, key: BoundKey, answer: KeptAnswer | None) -> None:
+        """Record the answer; ``None`` if it is too large to keep."""
+        claim = self._set(key, ClaimState.FINISHED)
+        if claim is None or answer is None:
+            return
+        if self._answer_bytes + len(answer.body) > self._max_answer_bytes:
+            return
+        self._answer_bytes += len(answer.body)
+        claim.answer = answer
+
+    def _set(self, key: BoundKey, state: ClaimState) -> Claim | None:
+        claim = self._claims.get(str(key))
+        if claim is not None:
+            claim.state = state
+        return claim
+
+    def expire(self, *, now_s: float) -> int:
+        """Drop the keys whose window has passed; return how many."""
+        expired = [
+            claim
+            for claim in self._claims.values()
+            if claim.state is not ClaimState.RUNNING
+            and self._age_s(claim.key, now_s=now_s) > self.window_s
+        ]
+        for claim in expired:
+            del self._claims[str(claim.key)]
+            if claim.answer is not None:
+                self._answer_bytes -= len(claim.answer.body)
+        return len(expired)
+
+    def seal(self) -> None:
+        """Dispatch nothing more from this table, for good.
+
+        Requests still being run count as dispatched.
+        """
+        self._sealed = True
+        for claim in self._claims.values():
+            if claim.state is ClaimState.RUNNING:
+                claim.state = ClaimState.UNKNOWN
+
+    def clocks_ms(self, *, now_s: float) -> dict[str, int]:
+        """Return the clock of each incarnation that the table answers for."""
+        own_ms = self.clock_ms(now_s=now_s)
+        return {name: own_ms + c.offset_ms for name, c in self._clocks.items()}
+
+    def adopt(
+        self,
+        incarnation: str,
+        *,
+        clock_ms: int,
+        claims: Iterable[Claim],
+        last: bool,
+        now_s: float,
+    ) -> bool:
+        """Answer for the keys of a stopped incarnation.
+
+        Parameters
+        ----------
+        incarnation : str
+            The stopped incarnation, which has sealed its table.
+        clock_ms : int
+            Its clock, when it sent this.
+        claims : iterable of Claim
+            A part of its keys.
+        last : bool
+            Whether all parts have now come; until then this process doesn't
+            decide on the keys.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            ``False`` if this table is sealed itself.
+        """
+        if self._sealed:
+            return False
+        if last:
+            offset_ms = clock_ms - self.clock_ms(now_s=now_s)
+            self._clocks.setdefault(incarnation, _Clock(offset_ms=offset_ms))
+        for claim in claims:
+            self._claims.setdefault(str(claim.key), claim)
+            if claim.answer is not None:
+                self._answer_bytes += len(claim.answer.body)
+        return True
+
+
+def _rejected(reason: Reason, detail: str) -> Reject:
+    return Reject(verdict=Verdict.MAY_HAVE_RUN, reason=reason, detail=detail)
+
+
+def _leaving() -> Reject:
+    return Reject(
+        verdict=Verdict.NOT_RUN,
+        reason=Reason.LEAVING,
+        detail="this process is stopping and its keys are moving",
+    )
+
+
+def _finished(claim: Claim) -> Replay | Reject:
+    if claim.answer is not None:
+        return Replay(answer=claim.answer)
+    return Reject(
+        verdict=Verdict.RAN,
+        reason=Reason.ANSWER_NOT_KEPT,
+        detail="the request ran and its answer was not kept",
+    )
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -0,0 +1,289 @@
+"""Which upstreams may take a request now, and who else could place it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from borageramp_core._internal.load import UpstreamLoad
+from borageramp_core._internal.messages import Submit
+from borageramp_core._internal.model import Service, Snapshot, Upstream
+from borageramp_core._internal.outliers import Outliers
+from borageramp_core._internal.ownership import Ownership
+from borageramp_core._internal.placement import Candidate
+from borageramp_core._internal.suspects import Suspects
+from borageramp_core._internal.warmup import WarmUp
+
+if TYPE_CHECKING:
+    from borageramp_core._internal.balancer import Running
+
+__all__ = ["Eligibility", "Found", "UpstreamState"]
+
+# How long an upstream that shed gets nothing new.
+SHED_PAUSE_S = 0.01
+# A word of leaving counts this long unless it is repeated.
+LEAVING_S = 30.0
+# An upstream this much slower than the service's median is treated as cold.
+SLOW_FACTOR = 5.0
+SLOW_ANSWERS = 5
+
+
+@dataclass(kw_only=True, slots=True)
+class Found:
+    """What a search for upstreams found.
+
+    Attributes
+    ----------
+    candidates : list of Candidate
+        Upstreams that may take the request now.
+    usable : int
+        Upstreams that this entry may use for it, now or when they have room.
+    pending : int
+        Upstreams that this entry may use for it before long.
+    slots : int
+        Slots of the usable upstreams.
+    owners : list of str
+        Incarnations of peers that may use an upstream that this one may not.
+    purpose : str
+        Why it would be passed on.
+    blocked : str
+        Why there is nothing to use.
+    """
+
+    candidates: list[Candidate] = field(default_factory=list)
+    usable: int = 0
+    pending: int = 0
+    slots: int = 0
+    owners: list[str] = field(default_factory=list)
+    purpose: str = ""
+    blocked: str = "the service has no upstream in service"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamState:
+    """The state of an upstream for an operator.
+
+    Attributes
+    ----------
+    upstream : Upstream
+        The upstream.
+    state : str
+        ``warm``, ``cold``, ``out``, ``leaving`` or ``ejected``.
+    why : str
+        What brought it there.
+    in_flight : int
+        Requests that it has from this entry.
+    """
+
+    upstream: Upstream
+    state: str
+    why: str
+    in_flight: int
+
+
+class Eligibility:
+    """The rules on which upstreams may take new work.
+
+    Parameters
+    ----------
+    ownership, warmup, suspects, outliers
+        The state that the rules read.
+    loads : mapping of str to UpstreamLoad
+        Loads by upstream.
+    running : mapping of str to Running
+        Tries that upstreams have, by request.
+    """
+
+    def __init__(
+        self,
+        *,
+        ownership: Ownership,
+        warmup: WarmUp,
+        suspects: Suspects,
+        outliers: Outliers,
+        loads: Mapping[str, UpstreamLoad],
+        running: "Mapping[str, Running]",
+    ) -> None:
+        self._ownership = ownership
+        self._warmup = warmup
+        self._suspects = suspects
+        self._outliers = outliers
+        self._loads = loads
+        self._running = running
+        self._paused_until_s: dict[str, float] = {}
+        self._leaving_until_s: dict[str, float] = {}
+        self._slow_answers: dict[str, int] = {}
+        self._in_service: set[str] = set()
+
+    def apply(self, service: Service, snapshot: Snapshot) -> None:
+        """Put a new revision in force; upstreams that return are cold."""
+        self._service = service
+        self._snapshot = snapshot
+        in_service = {u.id for u in service.upstreams if snapshot.takes_work(u)}
+        for upstream_id in self._in_service - in_service:
+            self._warmup.forget(upstream_id)
+        self._in_service = in_service
+
+    def find(self, request: Submit, *, now_s: float) -> Found:
+        """Find the upstreams that may take a request.
+
+        Parameters
+        ----------
+        request : Submit
+            The request.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        Found
+            The candidates, and what else could be done.
+        """
+        found = Found()
+        suspect = self._suspects.deaths(request.fingerprint, now_s=now_s) > 0
+        for upstream in self._service.upstreams:
+            if upstream.id in request.excluded:
+                continue
+            if not self._in_rotation(upstream, now_s=now_s):
+                continue
+            self._consider(upstream, request, found, suspect=suspect, now_s=now_s)
+        if found.pending and not found.usable:
+            found.blocked = "every upstream left is cold, ejected or busy"
+        return found
+
+    def _in_rotation(self, upstream: Upstream, *, now_s: float) -> bool:
+        if upstream.id not in self._in_service:
+            return False
+        return self._leaving_until_s.get(upstream.id, 0.0) <= now_s
+
+    def _consider(
+        self,
+        upstream: Upstream,
+        request: Submit,
+        found: Found,
+        *,
+        suspect: bool,
+        now_s: float,
+    ) -> None:
+        if self._outliers.is_ejected(upstream.id, now_s=now_s):
+            found.blocked = "every upstream in service is ejected"
+            return
+        warm = self._warmup.is_warm(upstream.id) or upstream.warmup_s <= 0
+        if suspect or not warm:
+            if not self._may_own(
+                upstream, request, found, suspect=suspect, now_s=now_s
+            ):
+                return
+        found.usable += 1
+        found.slots += upstream.slots
+        if self._has_room(upstream, suspect=suspect, now_s=now_s):
+            load = self._loads[upstream.id]
+            found.candidates.append(Candidate(upstream=upstream, load=load))
+
+    def _may_own(
+        self,
+        upstream: Upstream,
+        request: Submit,
+        found: Found,
+        *,
+        suspect: bool,
+        now_s: float,
+    ) -> bool:
+        if self._ownership.owns(upstream.id, now_s=now_s):
+            return True
+        owner = self._ownership.owner(upstream.id, now_s=now_s)
+        if owner == self._ownership.member:
+            found.pending += 1
+        elif owner is not None and not request.passed_on:
+            found.owners.append(owner)
+            found.purpose = "suspect" if suspect else "warm_up"
+        return False
+
+    def _has_room(self, upstream: Upstream, *, suspect: bool, now_s: float) -> bool:
+        if self._paused_until_s.get(upstream.id, 0.0) > now_s:
+            return False
+        load = self._loads[upstream.id]
+        if self._outliers.on_trial(upstream.id) and load.in_flight > 0:
+            return False
+        if suspect and self._has_suspect(upstream.id, now_s=now_s):
+            return False
+        allowance = self._warmup.allowance(upstream, now_s=now_s)
+        return load.in_flight < min(allowance, upstream.connections)
+
+    def _has_suspect(self, upstream_id: str, *, now_s: float) -> bool:
+        return any(
+            self._suspects.deaths(r.request.fingerprint, now_s=now_s) > 0
+            for r in self._running.values()
+            if r.upstream.id == upstream_id
+        )
+
+    def on_shed(self, upstream: Upstream, *, now_s: float) -> None:
+        """Give an upstream that shed a short pause."""
+        self._paused_until_s[upstream.id] = now_s + SHED_PAUSE_S
+
+    def on_leaving(self, upstream: Upstream, leaving: bool, *, now_s: float) -> None:
+        """Take in whether an upstream says that it is leaving."""
+        if leaving:
+            self._leaving_until_s[upstream.id] = now_s + LEAVING_S
+        else:
+            self._leaving_until_s.pop(upstream.id, None)
+
+    def on_break(self, upstream: Upstream, *, now_s: float) -> None:
+        """Treat an upstream whose connections break as started anew."""
+        if self._warmup.is_warm(upstream.id):
+            self._warmup.mark_cold(upstream.id, start_id="", now_s=now_s)
+
+    def on_success(self, upstream: Upstream, *, start_id: str, now_s: float) -> None:
+        """Take in a good answer."""
+        self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s)
+        if not self._warmup.is_warm(upstream.id):
+            return
+        if not self._is_slow(upstream):
+            self._slow_answers.pop(upstream.id, None)
+            return
+        count = self._slow_answers.get(upstream.id, 0) + 1
+        self._slow_answers[upstream.id] = count
+        if count >= SLOW_ANSWERS:
+            del self._slow_answers[upstream.id]
+            self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
+
+    def on_start_id(self, upstream: Upstream, start_id: str, *, now_s: float) -> None:
+        """Take in which start an upstream says it is."""
+        known = self._warmup.state(upstream.id, now_s=now_s).start_id
+        if start_id and known and start_id != known:
+            self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
+
+    def _is_slow(self, upstream: Upstream) -> bool:
+        latencies = sorted(
+            load.latency_s for load in self._loads.values() if load.answers
+        )
+        if len(latencies) < 3:
+            return False
+        median_s = latencies[len(latencies) // 2]
+        return self._loads[upstream.id].latency_s > SLOW_FACTOR * median_s
+
+    def states(self, *, now_s: float) -> list[UpstreamState]:
+        """Return the state of each upstream for an operator."""
+        return [self._state(u, now_s=now_s) for u in self._service.upstreams]
+
+    def _state(self, upstream: Upstream, *, now_s: float) -> UpstreamState:
+        state, why = self._state_and_why(upstream, now_s=now_s)
+        return UpstreamState(
+            upstream=upstream,
+            state=state,
+            why=why,
+            in_flight=self._loads[upstream.id].in_flight,
+        )
+
+    def _state_and_why(self, upstream: Upstream, *, now_s: float) -> tuple[str, str]:
+        if upstream.id not in self._in_service:
+            return "out", "taken out by operators"
+        if self._leaving_until_s.get(upstream.id, 0.0) > now_s:
+            return "leaving", "said so itself"
+        if self._outliers.is_ejected(upstream.id, now_s=now_s):
+            failures = self._outliers.state(upstream.id).failures_in_row
+            return "ejected", f"{failures} failures in a row"
+        if self._warmup.is_warm(upstream.id) or upstream.warmup_s <= 0:
+            return "warm", ""
+        worked_s = self._warmup.state(upstream.id, now_s=now_s).worked_s
+        owner = self._ownership.owner(upstream.id, now_s=now_s)
+        return "cold", f"{worked_s:.1f} s of {upstream.warmup_s:g} s, by {owner}"
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/errors.py
@@ -0,0 +1,131 @@
+"""The exception tree of borageramp."""
+
+from dataclasses import dataclass
+
+from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.verdict import Verdict
+
+__all__ = [
+    "BorageRampError",
+    "ConfigurationConflictError",
+    "ConfigurationInvalidError",
+    "OutcomeUnknownError",
+    "RefusedError",
+    "SettingsError",
+    "SettingsFault",
+    "StoreError",
+    "StoreUnavailableError",
+]
+
+
+class BorageRampError(Exception):
+    """Root of the errors that borageramp raises."""
+
+
+class RefusedError(BorageRampError):
+    """A request got a final refusal.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Whether the request may have run.
+    reason : Reason
+        Machine-readable cause.
+    detail : str
+        One sentence for a human reader.
+    retry_after_s : float, optional
+        Seconds after which another try makes sense.
+    """
+
+    def __init__(
+        self,
+        *,
+        verdict: Verdict,
+        reason: Reason,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.verdict = verdict
+        self.reason = reason
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsFault:
+    """One fault of a settings file.
+
+    Attributes
+    ----------
+    path : str
+        Dotted path of the field.
+    problem : str
+        What is wrong with it.
+    """
+
+    path: str
+    problem: str
+
+
+class SettingsError(BorageRampError):
+    """A settings file is invalid.
+
+    Parameters
+    ----------
+    faults : tuple of SettingsFault
+        Every fault found, in the order of the file.
+    """
+
+    def __init__(self, *, faults: tuple[SettingsFault, ...]) -> None:
+        super().__init__("; ".join(f"{f.path}: {f.problem}" for f in faults))
+        self.faults = faults
+
+
+class ConfigurationInvalidError(SettingsError):
+    """A change would leave the configuration tree invalid."""
+
+
+class ConfigurationConflictError(BorageRampError):
+    """Another operator changed the configuration first.
+
+    Parameters
+    ----------
+    base_revision : int
+        Revision that the change was made against.
+    current_revision : int
+        Revision found in the store.
+    changed : tuple of str
+        Paths that the other change touched.
+    author : str
+        Author of the other change.
+    """
+
+    def __init__(
+        self,
+        *,
+        base_revision: int,
+        current_revision: int,
+        changed: tuple[str, ...],
+        author: str,
+    ) -> None:
+        super().__init__(
+            f"revision {base_revision} was replaced by {current_revision}"
+            f" ({author} changed {', '.join(changed) or 'nothing'})"
+        )
+        self.base_revision = base_revision
+        self.current_revision = current_revision
+        self.changed = changed
+        self.author = author
+
+
+class StoreError(BorageRampError):
+    """The key-value service could not do what was asked."""
+
+
+class StoreUnavailableError(StoreError):
+    """The key-value service gave no answer; a write certainly had no effect."""
+
+
+class OutcomeUnknownError(StoreError):
+    """A write got no answer; it may or may not have taken effect."""
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/load.py
@@ -0,0 +1,68 @@
+"""What one entry knows of the load of one upstream."""
+
+from dataclasses import dataclass
+
+from borageramp_core._internal.messages import LoadReport
+
+__all__ = ["UpstreamLoad"]
+
+LATENCY_WEIGHT = 0.1
+# A report says little once requests that it counted have ended.
+REPORT_HALF_LIFE_S = 0.02
+
+
+@dataclass(kw_only=True, slots=True)
+class UpstreamLoad:
+    """Own counts, reports and latency of one upstream.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that the upstream runs at once.
+    in_flight : int
+        This entry's requests that it has.
+    others : float
+        Requests of other entries that it had at its last report.
+    reported_at_s : float
+        Time of that report.
+    latency_s : float
+        Moving average of its time to the first byte; 0 when unknown.
+    answers : int
+        Answers seen.
+    """
+
+    slots: int
+    in_flight: int = 0
+    others: float = 0.0
+    reported_at_s: float = float("-inf")
+    latency_s: float = 0.0
+    answers: int = 0
+
+    def on_report(self, report: LoadReport, *, now_s: float) -> None:
+        """Take in a report that came while this entry had ``in_flight``."""
+        self.others = max(0.0, float(report.in_flight - self.in_flight))
+        self.reported_at_s = now_s
+        if report.slots > 0:
+            self.slots = report.slots
+
+    def on_latency(self, latency_s: float) -> None:
+        """Take in the latency of an answer."""
+        self.answers += 1
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+            return
+        self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
+
+    def estimate(self, *, usual_others: float, now_s: float) -> float:
+        """Estimate the requests that the upstream has now.
+
+        Parameters
+        ----------
+        usual_others : float
+            Mean of ``others`` over the service, which a report decays to.
+        now_s : float
+            Present time.
+        """
+        age_s = now_s - self.reported_at_s
+        trust = 0.5 ** min(64.0, age_s / REPORT_HALF_LIFE_S)
+        return self.in_flight + trust * self.others + (1.0 - trust) * usual_others
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/outliers.py
@@ -0,0 +1,133 @@
+"""Ejection of upstreams that fail.
+
+An upstream that fails fast looks idle, so success is judged apart from load.
+Ejection never takes more than a set share of a service, and ends with a
+trial: one request at a time until one succeeds.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from borageramp_core._internal.model import Upstream
+
+__all__ = ["OutlierState", "Outliers"]
+
+
+@dataclass(kw_only=True, slots=True)
+class OutlierState:
+    """The record of one upstream's failures.
+
+    Attributes
+    ----------
+    failures_in_row : int
+        Failures since the last success.
+    success : float
+        Moving average of successes, 0 to 1.
+    ejected_until_s : float or None
+        End of the ejection; ``None`` while not ejected.
+    ejections : int
+        Ejections without a good spell between; lengthens the next one.
+    on_trial : bool
+        Whether it is being tried after an ejection.
+    """
+
+    failures_in_row: int = 0
+    success: float = 1.0
+    ejected_until_s: float | None = None
+    ejections: int = 0
+    on_trial: bool = False
+
+
+class Outliers:
+    """Failure records and ejections within one service.
+
+    Parameters
+    ----------
+    max_share : float
+        Largest share of the upstreams that may be ejected at once.
+    """
+
+    FAILURES_IN_ROW = 3
+    MIN_SUCCESS = 0.5
+    SUCCESS_WEIGHT = 0.1
+    MAX_EJECTION_FACTOR = 6
+
+    def __init__(self, *, max_share: float) -> None:
+        self.max_share = max_share
+        self._states: dict[str, OutlierState] = {}
+
+    def state(self, upstream_id: str) -> OutlierState:
+        """Return the record of an upstream."""
+        return self._states.setdefault(upstream_id, OutlierState())
+
+    def is_ejected(self, upstream_id: str, *, now_s: float) -> bool:
+        """Tell whether an upstream is ejected; an expired one goes on trial."""
+        state = self._states.get(upstream_id)
+        if state is None or state.ejected_until_s is None:
+            return False
+        if now_s < state.ejected_until_s:
+            return True
+        state.ejected_until_s = None
+        state.on_trial = True
+        return False
+
+    def on_trial(self, upstream_id: str) -> bool:
+        """Tell whether an upstream may have only one request at a time."""
+        state = self._states.get(upstream_id)
+        return state is not None and state.on_trial
+
+    def on_success(self, upstream_id: str) -> None:
+        """Count a success."""
+        state = self._states.get(upstream_id)
+        if state is None:
+            return
+        state.failures_in_row = 0
+        state.success += (1.0 - state.success) * self.SUCCESS_WEIGHT
+        if state.on_trial:
+            state.on_trial = False
+            state.success = 1.0
+        if state.success > 0.95:
+            state.ejections = 0
+
+    def on_failure(
+        self, upstream: Upstream, *, service_size: int, now_s: float
+    ) -> bool:
+        """Count a failure.
+
+        Returns
+        -------
+        bool
+            Whether it ejected the upstream.
+        """
+        state = self.state(upstream.id)
+        state.failures_in_row += 1
+        state.success -= state.success * self.SUCCESS_WEIGHT
+        failing = (
+            state.on_trial
+            or state.failures_in_row >= self.FAILURES_IN_ROW
+            or state.success < self.MIN_SUCCESS
+        )
+        if not failing or state.ejected_until_s is not None:
+            return False
+        if not self._has_room(upstream.id, service_size=service_size, now_s=now_s):
+            return False
+        state.ejections += 1
+        factor = min(state.ejections, self.MAX_EJECTION_FACTOR)
+        state.ejected_until_s = now_s + upstream.eject_s * factor
+        state.on_trial = False
+        return True
+
+    def _has_room(self, upstream_id: str, *, service_size: int, now_s: float) -> bool:
+        others = sum(
+            1
+            for name, state in self._states.items()
+            if name != upstream_id
+            and state.ejected_until_s is not None
+            and now_s < state.ejected_until_s
+        )
+        return others + 1 <= max(1, int(service_size * self.max_share))
+
+    def keep_only(self, upstream_ids: Iterable[str]) -> None:
+        """Drop the records of upstreams that are gone."""
+        kept = set(upstream_ids)
+        self._states = {k: v for k, v in self._states.items() if k in kept}
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/placement.py
@@ -0,0 +1,147 @@
+"""Policies that choose an upstream among those that may take a request."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from borageramp_core._internal.load import UpstreamLoad
+from borageramp_core._internal.model import Upstream
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "LeastEstimate",
+    "PlacementPolicy",
+    "TwoChoices",
+    "UniformRandom",
+]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """An upstream that may take a request.
+
+    Attributes
+    ----------
+    upstream : Upstream
+        The upstream.
+    load : UpstreamLoad
+        What is known of its load.
+    """
+
+    upstream: Upstream
+    load: UpstreamLoad
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The chosen candidate and why it was chosen.
+
+    Attributes
+    ----------
+    candidate : Candidate
+        The chosen one.
+    why : str
+        What decided, for logs.
+    """
+
+    candidate: Candidate
+    why: str
+
+
+class PlacementPolicy(Protocol):
+    """A way to choose among candidates."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+    ) -> Choice:
+        """Choose one of at least one candidates."""
+
+
+class UniformRandom:
+    """Choose at random; a baseline."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+    ) -> Choice:
+        """Choose one of at least one candidates."""
+        return Choice(candidate=rng.choice(candidates), why="random")
+
+
+class TwoChoices:
+    """Choose the one of two random candidates with fewer own requests [1]_.
+
+    References
+    ----------
+    .. [1] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+       Balancing", IEEE TPDS 12(10), 2001.
+    """
+
+    def choose(
+        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+    ) -> Choice:
+        """Choose one of at least one candidates."""
+        if len(candidates) == 1:
+            return Choice(candidate=candidates[0], why="only one")
+        first, second = rng.sample(candidates, 2)
+        better = min(first, second, key=lambda c: c.load.in_flight)
+        return Choice(candidate=better, why="fewer of two")
+
+
+class LeastEstimate:
+    """Choose the least expected wait among a sample of the candidates.
+
+    The expected wait joins own counts, the reports that came with answers,
+    and the latency seen lately. Latencies close to the best count as equal,
+    or the fastest by chance would get everything. A sample keeps entries that
+    saw the same reports from all choosing the same upstream.
+
+    Parameters
+    ----------
+    sample : int
+        Candidates compared.
+    """
+
+    EQUAL_LATENCY_FACTOR = 2.0
+
+    def __init__(self, *, sample: int = 6) -> None:
+        self._sample = sample
+
+    def choose(
+        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+    ) -> Choice:
+        """Choose one of at least one candidates."""
+        if len(candidates) == 1:
+            return Choice(candidate=candidates[0], why="only one")
+        if len(candidates) > self._sample:
+            candidates = rng.sample(candidates, self._sample)
+        usual_others = sum(c.load.others for c in candidates) / len(candidates)
+        floor_s = self._floor_s(candidates)
+        costs = [
+            (
+                self._cost(c, floor_s=floor_s, usual_others=usual_others, now_s=now_s),
+                rng.random(),
+                c,
+            )
+            for c in candidates
+        ]
+        cost, _, best = min(costs, key=lambda item: item[:2])
+        return Choice(candidate=best, why=f"least expected wait {cost * 1000:.2f} ms")
+
+    def _floor_s(self, candidates: Sequence[Candidate]) -> float:
+        known = [c.load.latency_s for c in candidates if c.load.answers]
+        return self.EQUAL_LATENCY_FACTOR * min(known, default=1e-3)
+
+    def _cost(
+        self,
+        candidate: Candidate,
+        *,
+        floor_s: float,
+        usual_others: float,
+        now_s: float,
+    ) -> float:
+        load = candidate.load
+        requests = load.estimate(usual_others=usual_others, now_s=now_s) + 1.0
+        latency_s = max(load.latency_s, floor_s)
+        return latency_s * max(1.0, requests / load.slots) + 1e-6 * requests
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/suspects.py
@@ -0,0 +1,129 @@
+"""Requests that crash the upstreams that run them.
+
+When an upstream dies, each request that it was running is a suspect. A
+suspect runs again only alone among suspects on one upstream, so that the next
+death points at one request. A request under which two upstreams died is
+refused.
+"""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+__all__ = ["Suspect", "Suspects", "fingerprint"]
+
+
+def fingerprint(*, service: str, key: str, method: str, path: str, body: bytes) -> str:
+    """Return a name for a request that is the same for each resend.
+
+    Parameters
+    ----------
+    service, key, method, path : str
+        Of the request; a key alone identifies the request if there is one.
+    body : bytes
+        Body of the request.
+    """
+    digest = hashlib.blake2b(digest_size=12)
+    parts = (key,) if key else (method, path)
+    for part in (service, *parts):
+        digest.update(part.encode() + b"\0")
+    if not key:
+        digest.update(body)
+    return digest.hexdigest()
+
+
+@dataclass(kw_only=True, slots=True)
+class Suspect:
+    """A request under which upstreams died.
+
+    Attributes
+    ----------
+    upstreams : set of str
+        Starts of upstreams that died while they ran it.
+    seen_at_s : float
+        Time of the last death.
+    """
+
+    upstreams: set[str] = field(default_factory=set)
+    seen_at_s: float = 0.0
+
+
+class Suspects:
+    """The suspects that one entry knows of.
+
+    Parameters
+    ----------
+    limit : int
+        Most suspects remembered; the oldest go first.
+    """
+
+    MAX_DEATHS = 2
+    KEEP_S = 600.0
+
+    def __init__(self, *, limit: int = 10_000) -> None:
+        self._limit = limit
+        self._suspects: OrderedDict[str, Suspect] = OrderedDict()
+
+    def deaths(self, name: str, *, now_s: float) -> int:
+        """Return how many upstreams died under a request."""
+        suspect = self._suspects.get(name)
+        if suspect is None:
+            return 0
+        if now_s - suspect.seen_at_s > self.KEEP_S:
+            del self._suspects[name]
+            return 0
+        return len(suspect.upstreams)
+
+    def is_condemned(self, name: str, *, now_s: float) -> bool:
+        """Tell whether a request has to be refused."""
+        return self.deaths(name, now_s=now_s) >= self.MAX_DEATHS
+
+    def on_death(self, names: Iterable[str], *, upstream: str, now_s: float) -> None:
+        """Record the death of an upstream.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Fingerprints of the requests that it was running.
+        upstream : str
+            Name of the upstream.
+        now_s : float
+            Present time.
+
+        Notes
+        -----
+        If suspects were among the requests, the death is put down to them
+        alone, and the requests beside them stay clear of it.
+        """
+        names = set(names)
+        known = {n for n in names if self.deaths(n, now_s=now_s) > 0}
+        for name in known or names:
+            self._add(name, {upstream}, now_s=now_s)
+
+    def learn(
+        self, name: str, upstreams: Iterable[str], *, age_s: float, now_s: float
+    ) -> None:
+        """Take over what a peer knows of a suspect."""
+        if age_s <= self.KEEP_S:
+            self._add(name, set(upstreams), now_s=now_s - age_s)
+
+    def _add(self, name: str, upstreams: set[str], *, now_s: float) -> None:
+        suspect = self._suspects.setdefault(name, Suspect())
+        suspect.upstreams |= upstreams
+        suspect.seen_at_s = max(suspect.seen_at_s, now_s)
+        self._suspects.move_to_end(name)
+        while len(self._suspects) > self._limit:
+            self._suspects.popitem(last=False)
+
+    def clear(self, name: str) -> None:
+        """Clear a request that was answered; condemned ones stay."""
+        suspect = self._suspects.get(name)
+        if suspect is not None and len(suspect.upstreams) < self.MAX_DEATHS:
+            del self._suspects[name]
+
+    def recent(self, *, now_s: float) -> Iterator[tuple[str, Suspect]]:
+        """Yield the suspects that peers should hear of."""
+        for name, suspect in self._suspects.items():
+            if now_s - suspect.seen_at_s <= self.KEEP_S:
+                yield name, suspect
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -0,0 +1,159 @@
+"""Warm-up of cold upstreams.
+
+An upstream is cold until the fleet has seen it work for ``warmup_s``. While
+cold, only its owner sends to it, and never more at once than the allowance,
+which grows from ``cold_concurrency`` to the upstream's slots.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from borageramp_core._internal.model import Upstream
+
+__all__ = ["WarmState", "WarmUp"]
+
+
+@dataclass(kw_only=True, slots=True)
+class WarmState:
+    """What is known of one upstream's warm-up.
+
+    Attributes
+    ----------
+    since_s : float
+        Time at which it became cold or, if ``warm``, at which it became warm.
+    warm : bool
+        Whether it bears its full share.
+    observed : bool
+        Whether an entry saw it become so; ``False`` for an upstream that is
+        taken to be cold because nothing is known of it.
+    worked_s : float
+        Time for which it has answered while cold.
+    last_answer_s : float or None
+        Time of the last answer counted.
+    start_id : str
+        Start of the upstream that the state is about.
+    """
+
+    since_s: float
+    warm: bool = False
+    observed: bool = False
+    worked_s: float = 0.0
+    last_answer_s: float | None = None
+    start_id: str = ""
+
+
+class WarmUp:
+    """The warm-up of every upstream, as one entry sees it."""
+
+    # An idle gap counts as work only up to this, so that an upstream with
+    # one request a minute does not pass for warm.
+    MAX_STEP_S = 0.5
+
+    def __init__(self) -> None:
+        self._states: dict[str, WarmState] = {}
+
+    def state(self, upstream_id: str, *, now_s: float) -> WarmState:
+        """Return the state of an upstream; an unknown one is cold."""
+        state = self._states.get(upstream_id)
+        if state is None:
+            state = WarmState(since_s=now_s)
+            self._states[upstream_id] = state
+        return state
+
+    def is_warm(self, upstream_id: str) -> bool:
+        """Tell whether an upstream bears its full share."""
+        state = self._states.get(upstream_id)
+        return state is not None and state.warm
+
+    def allowance(self, upstream: Upstream, *, now_s: float) -> int:
+        """Return how many requests at once an upstream bears, fleet-wide."""
+        state = self.state(upstream.id, now_s=now_s)
+        if state.warm or upstream.warmup_s <= 0:
+            return upstream.slots
+        share = min(1.0, state.worked_s / upstream.warmup_s)
+        grown = (upstream.slots - upstream.cold_concurrency) * share
+        return max(1, min(upstream.slots, upstream.cold_concurrency + int(grown)))
+
+    def on_answer(self, upstream: Upstream, *, start_id: str, now_s: float) -> bool:
+        """Count a good answer.
+
+        Returns
+        -------
+        bool
+            ``True`` if the answer showed that the upstream has restarted.
+        """
+        state = self.state(upstream.id, now_s=now_s)
+        if start_id and state.start_id and start_id != state.start_id:
+            self.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
+            return True
+        state.start_id = start_id or state.start_id
+        if not state.warm:
+            self._count_work(state, upstream, now_s=now_s)
+        return False
+
+    def _count_work(
+        self, state: WarmState, upstream: Upstream, *, now_s: float
+    ) -> None:
+        if state.last_answer_s is not None:
+            step_s = now_s - state.last_answer_s
+            state.worked_s += min(step_s, self.MAX_STEP_S)
+        state.last_answer_s = now_s
+        if state.worked_s >= upstream.warmup_s:
+            state.warm = True
+            state.observed = True
+            state.since_s = now_s
+
+    def mark_cold(self, upstream_id: str, *, start_id: str, now_s: float) -> None:
+        """Start the warm-up of an upstream afresh."""
+        self._states[upstream_id] = WarmState(
+            since_s=now_s, observed=True, start_id=start_id
+        )
+
+    def learn_cold(
+        self, upstream_id: str, *, start_id: str, age_s: float, now_s: float
+    ) -> bool:
+        """Take over a peer's observation that an upstream went cold.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        state = self.state(upstream_id, now_s=now_s)
+        since_s = now_s - age_s
+        known_start = start_id and start_id == state.start_id and not state.warm
+        if known_start or since_s <= state.since_s:
+            return False
+        self.mark_cold(upstream_id, start_id=start_id, now_s=since_s)
+        return True
+
+    def learn_warm(
+        self, upstream_id: str, *, start_id: str, age_s: float, now_s: float
+    ) -> bool:
+        """Take over a peer's observation that an upstream is warm.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        state = self.state(upstream_id, now_s=now_s)
+        since_s = now_s - age_s
+        other_start = state.start_id and start_id != state.start_id
+        if state.warm or other_start or (state.observed and since_s <= state.since_s):
+            return False
+        state.warm = True
+        state.observed = True
+        state.since_s = since_s
+        state.start_id = start_id
+        return True
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop the state of an upstream, which is cold when it returns."""
+        self._states.pop(upstream_id, None)
+
+    def observed(self, *, warm: bool) -> Iterator[tuple[str, WarmState]]:
+        """Yield the upstreams that an entry saw become warm, or cold."""
+        for name, state in self._states.items():
+            if state.observed and state.warm is warm:
+                yield name, state
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``borageramp-entry``."""
+
+from borageramp_entry import main
+
+main()
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/border/__init__.py
@@ -0,0 +1,1 @@
+"""Borders of the process: callers, operators and peers."""
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/border/http.py
@@ -0,0 +1,107 @@
+"""HTTP servers on twisted.web, as this project needs them."""
+
+import asyncio
+import io
+import json
+from typing import Any, cast
+from weakref import WeakSet
+
+from twisted.web import http
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+__all__ = ["BoundedRequest", "DrainingSite", "Leaf", "send_json"]
+
+
+class BoundedRequest(Request):
+    """A request whose body stays in memory and within a limit."""
+
+    max_body_bytes = 64_000_000
+    body_too_large = False
+    _received_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:
+        # The base class would write a large body to disk.
+        self.content = io.BytesIO()
+        if length is not None and length > self.max_body_bytes:
+            self.body_too_large = True
+
+    def handleContentChunk(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._received_bytes > self.max_body_bytes:
+            self.body_too_large = True
+        if not self.body_too_large:
+            super().handleContentChunk(data)
+
+
+class _Channel(http.HTTPChannel):
+    """A connection that sends small parts of an answer at once."""
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        cast(Any, self.transport).setTcpNoDelay(True)
+
+
+class DrainingSite(Site):
+    """A site that can end its connections without cutting a request."""
+
+    requestFactory = BoundedRequest
+
+    def __init__(self, resource: Resource, **kwargs: Any) -> None:
+        super().__init__(resource, **kwargs)
+        # HTTP/1.1 only: no protocol negotiation for each connection.
+        cast(Any, self).protocol = _Channel
+        self._channels: WeakSet[http.HTTPChannel] = WeakSet()
+        self.closing = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        channel = super().buildProtocol(addr)
+        if channel is not None:
+            self._channels.add(cast(Any, channel))
+        return channel
+
+    def log(self, request: Any) -> None:
+        # The entry logs requests itself.
+        return
+
+    def close_idle(self) -> int:
+        """Close connections without a request; return how many are busy."""
+        busy = 0
+        for channel in list(self._channels):
+            if channel.transport is None:
+                continue
+            if channel.requests:
+                busy += 1
+            else:
+                channel.loseConnection()
+        return busy
+
+
+class Leaf(Resource):
+    """A resource served by a coroutine."""
+
+    isLeaf = True
+
+    def render(self, request: Request) -> int:
+        """Serve a request."""
+        task = asyncio.ensure_future(self.serve(request))
+        request.notifyFinish().addErrback(lambda _: self.on_gone(request, task))
+        return NOT_DONE_YET
+
+    def on_gone(self, request: Request, task: "asyncio.Task[None]") -> None:
+        """Take in that the peer closed the connection."""
+        task.cancel()
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        raise NotImplementedError
+
+
+def send_json(request: Request, status: int, value: Any) -> None:
+    """Answer with a JSON body."""
+    body = json.dumps(value).encode() + b"\n"
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control of the fleet: configuration, list of entries, heartbeats."""
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Service of callers' requests."""
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/delivery.py
@@ -0,0 +1,76 @@
+"""Delivery of an upstream's answer, part by part."""
+
+import asyncio
+from dataclasses import dataclass
+
+from borageramp_core import Result
+from borageramp_entry._internal.serving.requests import AnswerSink
+from borageramp_entry._internal.serving.tries import Try
+from borageramp_entry._internal.serving.upstreams import TryFailedError
+
+__all__ = ["Delivered", "deliver"]
+
+# An upstream that sends nothing for this long has lost the answer.
+BODY_IDLE_S = 30.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Delivered:
+    """What was delivered of an answer.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether all of it was.
+    status : int
+        HTTP status.
+    """
+
+    whole: bool
+    status: int
+
+
+async def deliver(winner: Try, sink: AnswerSink) -> Delivered:
+    """Pass an answer on as it arrives, and give the slot back.
+
+    Parameters
+    ----------
+    winner : Try
+        A try with the head of an answer.
+    sink : AnswerSink
+        Where the answer goes.
+
+    Returns
+    -------
+    Delivered
+        Whether the whole answer went through.
+    """
+    answer = winner.answer
+    if answer is None:
+        raise ValueError("the try has no answer")
+    status = answer.head.status
+    try:
+        sink.start(answer.head)
+        await sink.write(b"")
+        chunks = answer.chunks()
+        while True:
+            chunk = await _next(chunks)
+            if chunk is None:
+                break
+            await sink.write(chunk)
+    except (TryFailedError, TimeoutError):
+        winner.end(Result.DIED)
+        sink.abort()
+        return Delivered(whole=False, status=status)
+    except asyncio.CancelledError:
+        winner.end(Result.CANCELLED)
+        raise
+    winner.end(winner.head_result)
+    sink.finish()
+    return Delivered(whole=True, status=status)
+
+
+async def _next(chunks: object) -> bytes | None:
+    step = anext(chunks, None)  # type: ignore[call-overload]
+    chunk: bytes | None = await asyncio.wait_for(step, BODY_IDLE_S)
+    return chunk
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -0,0 +1,298 @@
+"""Takes a request through placement, tries, retries and hedges to its answer."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from borageramp_core import (
+    AttemptPlan,
+    PassOn,
+    Placed,
+    Reason,
+    Refused,
+    RefusedError,
+    Result,
+    Retry,
+    Submit,
+    Upstream,
+    Verdict,
+    fingerprint,
+)
+from borageramp_entry._internal.reporting import Reporter
+from borageramp_entry._internal.serving.delivery import Delivered, deliver
+from borageramp_entry._internal.serving.placement import PlacementTask
+from borageramp_entry._internal.serving.race import Race, RaceLostError
+from borageramp_entry._internal.serving.relay import PeerRelay
+from borageramp_entry._internal.serving.requests import AnswerSink, CallerRequest
+from borageramp_entry._internal.serving.tries import Try
+from borageramp_entry._internal.serving.upstreams import UpstreamClient
+
+__all__ = ["Dispatcher", "Terms"]
+
+MIN_RETRY_AFTER_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Terms:
+    """Terms on which a request is dispatched.
+
+    Attributes
+    ----------
+    late_s : float
+        Time after the deadline for which an answer is still wanted.
+    may_dispatch : callable
+        Asked right before each dispatch.
+    """
+
+    late_s: float = 0.0
+    may_dispatch: Callable[[], bool] = lambda: True
+
+
+class Dispatcher:
+    """Dispatches requests to upstreams.
+
+    Parameters
+    ----------
+    find_task : callable
+        Returns the placement task of a service, ``None`` if there is none.
+    client : UpstreamClient
+        Connections to upstreams.
+    relay : PeerRelay
+        Passes requests on to peers.
+    reporter : Reporter
+        Is told what happens.
+    may_serve : callable
+        Tells whether this entry may take work now.
+    tell_peers : callable
+        Tells peers of a crash, before the request is tried again.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        find_task: Callable[[str], PlacementTask | None],
+        client: UpstreamClient,
+        relay: PeerRelay,
+        reporter: Reporter,
+        may_serve: Callable[[], bool],
+        tell_peers: Callable[[], Awaitable[None]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._find_task = find_task
+        self._client = client
+        self._relay = relay
+        self._reporter = reporter
+        self._may_serve = may_serve
+        self._tell_peers = tell_peers
+        self._clock = clock
+
+    async def run(
+        self, request: CallerRequest, sink: AnswerSink, *, terms: Terms | None = None
+    ) -> Delivered:
+        """Dispatch a request and deliver its answer.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        sink : AnswerSink
+            Where the answer goes.
+        terms : Terms, optional
+            Terms of the dispatch.
+
+        Returns
+        -------
+        Delivered
+            How much of the answer was delivered.
+
+        Raises
+        ------
+        RefusedError
+            If there is no answer; nothing was written to the sink.
+        """
+        task = self._find_task(request.service)
+        if task is None:
+            raise RefusedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.UNKNOWN_SERVICE,
+                detail=f"there is no service {request.service!r}",
+            )
+        run = _Run(self, task, request, sink, terms or Terms())
+        return await run.to_end()
+
+
+class _Run:
+    """One request on its way."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        task: PlacementTask,
+        request: CallerRequest,
+        sink: AnswerSink,
+        terms: Terms,
+    ) -> None:
+        self._d = dispatcher
+        self._task = task
+        self._request = request
+        self._sink = sink
+        self._terms = terms
+        self._first = Submit(
+            request_id=request.request_id,
+            class_name=request.class_name,
+            deadline_s=request.deadline_s,
+            fingerprint=fingerprint(
+                service=request.service,
+                key=request.key,
+                method=request.method,
+                path=request.path,
+                body=request.body,
+            ),
+            passed_on=request.passed_on,
+        )
+        self._plan = AttemptPlan(
+            first=self._first,
+            policy=task.balancer.service.policy,
+            retries=task.retries,
+            hedges=task.hedges,
+        )
+
+    async def to_end(self) -> Delivered:
+        submit = self._first
+        while True:
+            decision = await self._task.place(submit)
+            if isinstance(decision, Refused):
+                raise self._refusal(decision)
+            if isinstance(decision, PassOn):
+                return await self._pass_on(decision)
+            self._check_terms(decision)
+            outcome = await self._attempt(decision)
+            if isinstance(outcome, Delivered):
+                return outcome
+            submit = outcome
+
+    def _check_terms(self, placed: Placed) -> None:
+        if self._d._may_serve() and self._terms.may_dispatch():
+            return
+        self._task.finish(placed.request.request_id, Result.CANCELLED)
+        raise RefusedError(
+            verdict=self._plan.verdict,
+            reason=Reason.NOT_SERVING,
+            detail="this entry may not take work now",
+            retry_after_s=MIN_RETRY_AFTER_S,
+        )
+
+    def _refusal(self, refused: Refused) -> RefusedError:
+        return RefusedError(
+            verdict=self._plan.verdict,
+            reason=refused.reason,
+            detail=refused.detail,
+            retry_after_s=refused.retry_after_s,
+        )
+
+    async def _pass_on(self, decision: PassOn) -> Delivered:
+        self._d._reporter.metrics.extra(service=self._request.service, kind="hop")
+        try:
+            return await self._d._relay.execute(
+                decision.member,
+                self._request,
+                purpose=decision.purpose,
+                sink=self._sink,
+                late_s=self._terms.late_s,
+            )
+        except RefusedError as error:
+            if self._plan.verdict is Verdict.NOT_RUN:
+                raise
+            error.verdict = Verdict.MAY_HAVE_RUN
+            raise
+
+    async def _attempt(self, placed: Placed) -> Delivered | Submit:
+        race = Race(
+            request=self._request,
+            plan=self._plan,
+            late_s=self._terms.late_s,
+            start_hedge=self._start_hedge,
+        )
+        first = self._try(placed)
+        try:
+            winner = await race.run(first, hedge_after_s=self._hedge_after_s())
+        except RaceLostError as lost:
+            return await self._after_failure(lost.last, lost.result)
+        if winner.head_result is Result.ERROR:
+            following = self._plan.on_result(
+                Result.ERROR, upstream_id=winner.upstream.id, now_s=self._d._clock()
+            )
+            if isinstance(following, Retry):
+                winner.answer.abort()  # type: ignore[union-attr]
+                winner.end(Result.ERROR)
+                return self._retry(following, winner.upstream, Result.ERROR)
+        return await self._deliver(winner)
+
+    def _try(self, placed: Placed) -> Try:
+        return Try(
+            placed=placed,
+            task=self._task,
+            client=self._d._client,
+            clock=self._d._clock,
+        )
+
+    def _hedge_after_s(self) -> float | None:
+        policy = self._task.balancer.service.policy
+        if not policy.idempotent or self._suspect():
+            return None
+        return self._task.latencies.quantile_s(policy.hedge_quantile)
+
+    def _suspect(self) -> bool:
+        return self._task.balancer.is_suspect(
+            self._first.fingerprint, now_s=self._d._clock()
+        )
+
+    def _start_hedge(self, beside: Try) -> Try | None:
+        submit = self._plan.hedge(upstream_id=beside.upstream.id)
+        if submit is None:
+            return None
+        placed = self._task.place_now(submit)
+        if placed is None:
+            return None
+        self._d._reporter.metrics.extra(service=self._request.service, kind="hedge")
+        return self._try(placed)
+
+    async def _after_failure(self, failed: Try, result: Result) -> Submit:
+        if result is Result.DIED:
+            self._task.on_death(failed.upstream)
+        failed.end(result)
+        if result is Result.DIED:
+            await self._d._tell_peers()
+        following = self._plan.on_result(
+            result, upstream_id=failed.upstream.id, now_s=self._d._clock()
+        )
+        if isinstance(following, Retry):
+            return self._retry(following, failed.upstream, result)
+        raise RefusedError(
+            verdict=following.verdict,
+            reason=following.reason,
+            detail=following.detail,
+            retry_after_s=MIN_RETRY_AFTER_S,
+        )
+
+    def _retry(self, retry: Retry, upstream: Upstream, result: Result) -> Submit:
+        self._d._reporter.metrics.extra(service=self._request.service, kind="retry")
+        self._d._reporter.decided(
+            self._request.request_id,
+            "retry",
+            after=result.value,
+            upstream=upstream.name,
+        )
+        return retry.submit
+
+    async def _deliver(self, winner: Try) -> Delivered:
+        delivered = await deliver(winner, self._sink)
+        self._d._reporter.decided(
+            self._request.request_id,
+            "answered" if delivered.whole else "cut short",
+            upstream=winner.upstream.name,
+            status=delivered.status,
+            latency_ms=round(winner.latency_s * 1000, 2),
+        )
+        return delivered
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -0,0 +1,188 @@
+"""The task that places the requests of one service."""
+
+import asyncio
+from collections.abc import Callable
+
+from borageramp_core import (
+    Balancer,
+    Finished,
+    LatencyWindow,
+    PassOn,
+    Placed,
+    Placement,
+    Queued,
+    RatioBudget,
+    Refused,
+    Result,
+    Service,
+    Snapshot,
+    Submit,
+    Upstream,
+)
+from borageramp_entry._internal.reporting import Reporter
+
+__all__ = ["PlacementTask"]
+
+# Waiting requests are looked at again this often, besides after each answer.
+TICK_S = 0.005
+
+Settled = Placed | PassOn | Refused
+
+
+class PlacementTask:
+    """Owns the decisions on one service, and the requests that wait for them.
+
+    Parameters
+    ----------
+    balancer : Balancer
+        Decisions on the service.
+    reporter : Reporter
+        Is told each decision.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self, *, balancer: Balancer, reporter: Reporter, clock: Callable[[], float]
+    ) -> None:
+        policy = balancer.service.policy
+        self.balancer = balancer
+        self.retries = RatioBudget(ratio=policy.retry_ratio)
+        self.hedges = RatioBudget(ratio=policy.hedge_ratio)
+        self.latencies = LatencyWindow()
+        self._reporter = reporter
+        self._clock = clock
+        self._waiting: dict[str, asyncio.Future[Settled]] = {}
+        self._ticking: asyncio.TimerHandle | None = None
+
+    def apply(self, service: Service, snapshot: Snapshot) -> None:
+        """Put a new revision of the service in force."""
+        self.balancer.apply(service, snapshot)
+        self.retries.ratio = service.policy.retry_ratio
+        self.hedges.ratio = service.policy.hedge_ratio
+        self._settle(self.balancer.drain(now_s=self._clock()))
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that upstreams have, or that wait."""
+        return len(self.balancer.running) + len(self._waiting)
+
+    async def place(self, submit: Submit) -> Settled:
+        """Decide on a request; waits while it is queued."""
+        decision = self.balancer.submit(submit, now_s=self._clock())
+        self._report(decision)
+        if not isinstance(decision, Queued):
+            return decision
+        waiting: asyncio.Future[Settled] = asyncio.get_running_loop().create_future()
+        self._waiting[submit.request_id] = waiting
+        self._tick_later()
+        try:
+            return await waiting
+        except asyncio.CancelledError:
+            self._abandon(submit, waiting)
+            raise
+        finally:
+            self._waiting.pop(submit.request_id, None)
+
+    def _abandon(self, submit: Submit, waiting: "asyncio.Future[Settled]") -> None:
+        self.balancer.cancel(submit.request_id)
+        placed = waiting.done() and not waiting.cancelled()
+        if placed and isinstance(waiting.result(), Placed):
+            self.finish(submit.request_id, Result.CANCELLED)
+
+    def place_now(self, submit: Submit) -> Placed | None:
+        """Place a request if that needs no waiting."""
+        decision = self.balancer.submit(submit, now_s=self._clock())
+        if isinstance(decision, Placed):
+            self._report(decision)
+            return decision
+        self.balancer.cancel(submit.request_id)
+        return None
+
+    def finish(
+        self,
+        request_id: str,
+        result: Result,
+        *,
+        latency_s: float = 0.0,
+        finished: Finished | None = None,
+    ) -> None:
+        """Take in the end of a try."""
+        if finished is None:
+            finished = Finished(
+                request_id=request_id, result=result, latency_s=latency_s
+            )
+        if result is Result.ANSWERED:
+            self.latencies.add(finished.latency_s)
+        name = self.balancer.service.name
+        self._reporter.metrics.tried(service=name, result=result)
+        self._settle(self.balancer.finish(finished, now_s=self._clock()))
+
+    def on_death(self, upstream: Upstream) -> tuple[str, ...]:
+        """Record that an upstream died with what it was running."""
+        names = self.balancer.on_death(upstream, now_s=self._clock())
+        self._reporter.repaired(
+            "crash suspects", upstream=upstream.id, requests=len(names)
+        )
+        return names
+
+    def _settle(self, decisions: list[Placement]) -> None:
+        for decision in decisions:
+            self._report(decision)
+            waiting = self._waiting.get(decision.request.request_id)
+            if waiting is None or waiting.done():
+                self._give_back(decision)
+            elif not isinstance(decision, Queued):
+                waiting.set_result(decision)
+        self._tick_later()
+
+    def _give_back(self, decision: Placement) -> None:
+        if isinstance(decision, Placed):
+            self.finish(decision.request.request_id, Result.CANCELLED)
+
+    def _tick_later(self) -> None:
+        if self._ticking is None and len(self.balancer.queue) > 0:
+            loop = asyncio.get_running_loop()
+            self._ticking = loop.call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = None
+        self._settle(self.balancer.drain(now_s=self._clock()))
+
+    def _report(self, decision: Placement) -> None:
+        request_id, _, _ = decision.request.request_id.partition("#")
+        common = {
+            "service": self.balancer.service.name,
+            "class_name": decision.request.class_name,
+        }
+        if isinstance(decision, Placed):
+            self._reporter.decided(
+                request_id,
+                "placed",
+                **common,
+                upstream=decision.upstream.name,
+                data_centre=decision.upstream.data_centre,
+                candidates=decision.candidates,
+                why=decision.why,
+                waited_ms=round(decision.waited_s * 1000, 2),
+            )
+        elif isinstance(decision, PassOn):
+            self._reporter.decided(
+                request_id,
+                "passed on",
+                **common,
+                member=decision.member,
+                why=decision.purpose,
+            )
+        elif isinstance(decision, Queued):
+            self._reporter.decided(
+                request_id, "queued", **common, position=decision.position
+            )
+        else:
+            self._reporter.decided(
+                request_id,
+                "refused",
+                **common,
+                reason=decision.reason.value,
+                detail=decision.detail,
+            )
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/probing.py
@@ -0,0 +1,142 @@
+"""Probes of upstreams that give this entry no news by themselves.
+
+Only the owner of an upstream probes it, and tells peers what it learns, so the
+budget holds over the fleet and not for each entry.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.client import Agent, readBody
+
+from borageramp_core import (
+    LoadReport,
+    Ownership,
+    Snapshot,
+    TokenBucket,
+    Upstream,
+)
+from borageramp_entry._internal.reporting import Reporter
+from borageramp_entry._internal.serving.placement import PlacementTask
+
+__all__ = ["ProbeTask", "parse_health"]
+
+HEALTH_PATH = "/health"
+TIMEOUT_S = 1.0
+STEP_S = 0.05
+MAX_BODY_BYTES = 4096
+# Two entries may take themselves for the owner while views differ.
+OWNER_SHARE = 0.5
+
+
+def parse_health(body: bytes) -> LoadReport | None:
+    """Read the answer to a probe; ``None`` if it makes no sense."""
+    try:
+        raw = json.loads(body[:MAX_BODY_BYTES])
+        return LoadReport(
+            in_flight=int(raw["in_flight"]),
+            slots=int(raw.get("slots", 0)),
+            start_id=str(raw.get("start_id", "")),
+            leaving=bool(raw.get("leaving", False)),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+class ProbeTask:
+    """Probes the upstreams that this entry owns, within the budget.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        The running reactor.
+    snapshot : callable
+        Returns the configuration in force.
+    ownership : Ownership
+        Owners of upstreams.
+    tasks : callable
+        Returns the placement tasks.
+    may_serve : callable
+        Tells whether this entry may take work; a cut-off entry probes nothing.
+    reporter : Reporter
+        Counts probes.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: IReactorTime,
+        snapshot: Callable[[], Snapshot],
+        ownership: Ownership,
+        tasks: Callable[[], Iterable[PlacementTask]],
+        may_serve: Callable[[], bool],
+        reporter: Reporter,
+        clock: Callable[[], float],
+    ) -> None:
+        self._agent = Agent(reactor, connectTimeout=TIMEOUT_S)
+        self._snapshot = snapshot
+        self._ownership = ownership
+        self._tasks = tasks
+        self._may_serve = may_serve
+        self._reporter = reporter
+        self._clock = clock
+        self._due_at_s: dict[str, float] = {}
+        self._bucket = TokenBucket(rate_hz=0.0, burst=1.0, now_s=clock())
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            if self._may_serve():
+                self._probe_due()
+            await asyncio.sleep(STEP_S)
+
+    def _probe_due(self) -> None:
+        now_s = self._clock()
+        entries = max(1, len(self._ownership.members))
+        rate_hz = self._snapshot().probe_rate_hz * OWNER_SHARE / entries
+        self._bucket.rate_hz = rate_hz
+        for task in self._tasks():
+            for upstream in task.balancer.service.upstreams:
+                if self._is_due(task, upstream, now_s=now_s):
+                    if not self._bucket.take(now_s=now_s):
+                        return
+                    self._start(task, upstream, now_s=now_s)
+
+    def _is_due(self, task: PlacementTask, upstream: Upstream, *, now_s: float) -> bool:
+        if not self._ownership.owns(upstream.id, now_s=now_s):
+            return False
+        # A new owner waits a whole interval, as the old one may have probed.
+        due_at_s = self._due_at_s.setdefault(
+            upstream.id, now_s + upstream.probe_interval_s / OWNER_SHARE
+        )
+        load = task.balancer.loads[upstream.id]
+        silent = now_s - load.reported_at_s > upstream.probe_interval_s
+        return silent and now_s >= due_at_s
+
+    def _start(self, task: PlacementTask, upstream: Upstream, *, now_s: float) -> None:
+        interval_s = upstream.probe_interval_s / OWNER_SHARE
+        self._due_at_s[upstream.id] = now_s + interval_s
+        self._reporter.metrics.probed(service=upstream.service)
+        probe = asyncio.ensure_future(self._probe(task, upstream))
+        self._running.add(probe)
+        probe.add_done_callback(self._running.discard)
+
+    async def _probe(self, task: PlacementTask, upstream: Upstream) -> None:
+        url = f"http://{upstream.host}:{upstream.port}{HEALTH_PATH}".encode()
+        loop = asyncio.get_running_loop()
+        try:
+            asked = self._agent.request(b"GET", url).asFuture(loop)
+            response = await asyncio.wait_for(asked, TIMEOUT_S)
+            read = readBody(response).asFuture(loop)
+            body = await asyncio.wait_for(read, TIMEOUT_S)
+        except Exception:
+            # The health endpoint may mislead; only requests eject.
+            return
+        report = parse_health(body)
+        if report is not None:
+            task.balancer.on_probe(upstream, report, now_s=self._clock())
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/requests.py
@@ -0,0 +1,83 @@
+"""A caller's request, and where its answer goes."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+__all__ = ["AnswerHead", "AnswerSink", "CallerRequest", "Headers"]
+
+Headers = tuple[tuple[str, bytes], ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerRequest:
+    """A request that passed the checks at the border.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifier for logs and explanations.
+    service, class_name : str
+        Service asked for, and class of the request.
+    deadline_s : float
+        Time at which the caller gives up.
+    method, path : str
+        HTTP method, and path with its query.
+    headers : tuple of (str, bytes)
+        Headers for the upstream.
+    body : bytes
+        The whole body.
+    key : str
+        Key of the request; empty if it has none.
+    issued_ms : int or None
+        Time of issue of a plain key, in milliseconds since the epoch.
+    owner : str
+        Incarnation that a peer took this entry to answer for; empty if the
+        request came from a caller.
+    passed_on : bool
+        Whether a peer passed it on.
+    """
+
+    request_id: str
+    service: str
+    class_name: str
+    deadline_s: float
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    key: str = ""
+    issued_ms: int | None = None
+    owner: str = ""
+    passed_on: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, bytes)
+        Headers of the answer.
+    """
+
+    status: int
+    headers: Headers
+
+
+class AnswerSink(Protocol):
+    """Where an answer goes."""
+
+    def start(self, head: AnswerHead) -> None:
+        """Begin the answer; nothing is retried after this."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Pass a part on; waits while the reader is slow."""
+
+    def finish(self) -> None:
+        """End a whole answer."""
+
+    def abort(self) -> None:
+        """End an answer that was cut short, so that the reader notices."""
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -0,0 +1,317 @@
+"""Connections to upstreams, by HTTP/1.1."""
+
+import asyncio
+import io
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any, cast
+
+from twisted.internet import defer, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError, ConnectingCancelledError
+from twisted.internet.interfaces import IReactorTime, IStreamClientEndpoint
+from twisted.python.failure import Failure
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    RequestNotSent,
+    ResponseDone,
+)
+from twisted.web.client import FileBodyProducer as _FileBodyProducer
+from twisted.web.http_headers import Headers as HttpHeaders
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from borageramp_core import LoadReport, Result, Upstream
+from borageramp_entry._internal.serving.reports import parse_report
+from borageramp_entry._internal.serving.requests import AnswerHead, CallerRequest
+
+__all__ = ["TryFailedError", "UpstreamAnswer", "UpstreamClient"]
+
+IDLE_TIMEOUT_S = 30
+# Bytes of an answer held for a slow reader before the upstream is paused.
+BUFFER_BYTES = 65_536
+SHED_HEADER = "borageramp-shed"
+SHED_MARK = b"not-run"
+STATUS_UNAVAILABLE = 503
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "upstream-load",
+    }
+)
+
+
+class TryFailedError(Exception):
+    """A try on an upstream brought no answer.
+
+    Parameters
+    ----------
+    result : Result
+        How it ended.
+    report : LoadReport or None
+        What the upstream said of itself.
+    """
+
+    def __init__(self, result: Result, report: LoadReport | None = None) -> None:
+        super().__init__(str(result))
+        self.result = result
+        self.report = report
+
+
+class _Body(protocol.Protocol):
+    """Receives the body of an answer, with back-pressure."""
+
+    def __init__(self) -> None:
+        self._chunks: deque[bytes] = deque()
+        self._held_bytes = 0
+        self._paused = False
+        self._wake = asyncio.Event()
+        self._ended = False
+        self._whole = False
+
+    def dataReceived(self, data: bytes) -> None:
+        self._chunks.append(data)
+        self._held_bytes += len(data)
+        self._wake.set()
+        if self._held_bytes > BUFFER_BYTES and not self._paused:
+            self._paused = True
+            cast(Any, self.transport).pauseProducing()
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        self._ended = True
+        self._whole = reason.check(ResponseDone) is not None
+        self._wake.set()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts; raise if the body was cut short."""
+        while True:
+            while self._chunks:
+                chunk = self._chunks.popleft()
+                self._held_bytes -= len(chunk)
+                self._resume()
+                yield chunk
+            if self._ended:
+                break
+            self._wake.clear()
+            await self._wake.wait()
+        if not self._whole:
+            raise TryFailedError(Result.DIED)
+
+    def _resume(self) -> None:
+        if self._paused and self._held_bytes <= BUFFER_BYTES and not self._ended:
+            self._paused = False
+            cast(Any, self.transport).resumeProducing()
+
+    def abort(self) -> None:
+        """Close the connection, so that it isn't used again."""
+        if not self._ended and self.transport is not None:
+            cast(Any, self.transport).abortConnection()
+
+
+@dataclass(kw_only=True, slots=True)
+class UpstreamAnswer:
+    """The head of an answer, and its body as it arrives.
+
+    Attributes
+    ----------
+    head : AnswerHead
+        Status and headers.
+    report : LoadReport or None
+        What the upstream said of itself.
+    """
+
+    head: AnswerHead
+    report: LoadReport | None
+    _body: _Body
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raise ``TryFailedError`` if cut short."""
+        return self._body.chunks()
+
+    def abort(self) -> None:
+        """Drop the rest of the answer and its connection."""
+        self._body.abort()
+
+
+@implementer(IStreamClientEndpoint)
+class _NoDelayEndpoint:
+    """An endpoint whose connections send small requests at once."""
+
+    def __init__(self, endpoint: TCP4ClientEndpoint | TCP6ClientEndpoint) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> "defer.Deferred[Any]":
+        connected = self._endpoint.connect(factory)
+        return connected.addCallback(_set_no_delay)
+
+
+def _set_no_delay(connection: Any) -> Any:
+    connection.transport.setTcpNoDelay(True)
+    return connection
+
+
+@implementer(IAgentEndpointFactory)
+class _EndpointFactory:
+    """Makes the endpoints of upstreams.
+
+    Parameters
+    ----------
+    reactor : object
+        The running reactor.
+    connect_timeout_s : float
+        Time for opening a connection.
+    """
+
+    def __init__(self, *, reactor: Any, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: Any) -> _NoDelayEndpoint:
+        host = uri.host.decode()
+        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        endpoint = kind(self._reactor, host, uri.port, timeout=self._connect_timeout_s)
+        return _NoDelayEndpoint(endpoint)
+
+
+class UpstreamClient:
+    """Sends requests to upstreams over pooled connections.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        The running reactor.
+    """
+
+    def __init__(self, *, reactor: IReactorTime) -> None:
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        # The pool would send a request again by itself on a broken connection.
+        self._pool.retryAutomatically = False
+        self._pool.maxPersistentPerHost = 32
+        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        self._agents: dict[float, Agent] = {}
+
+    def _agent(self, connect_timeout_s: float) -> Agent:
+        agent = self._agents.get(connect_timeout_s)
+        if agent is None:
+            factory = _EndpointFactory(
+                reactor=self._reactor, connect_timeout_s=connect_timeout_s
+            )
+            agent = Agent.usingEndpointFactory(self._reactor, factory, pool=self._pool)
+            self._agents[connect_timeout_s] = agent
+        return agent
+
+    async def send(
+        self,
+        upstream: Upstream,
+        request: CallerRequest,
+        *,
+        timeout_s: float,
+        deadline_ms: int,
+        connect_timeout_s: float,
+    ) -> UpstreamAnswer:
+        """Send a request and wait for the head of the answer.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Where to send it.
+        request : CallerRequest
+            The request.
+        timeout_s : float
+            Time for the head of the answer.
+        deadline_ms : int
+            Time that the upstream is told it has.
+        connect_timeout_s : float
+            Time for opening a connection.
+
+        Returns
+        -------
+        UpstreamAnswer
+            The answer; its body may still be on its way.
+
+        Raises
+        ------
+        TryFailedError
+            If no answer came, or the upstream shed the request.
+        """
+        headers = _upstream_headers(request, deadline_ms)
+        deferred = self._agent(connect_timeout_s).request(
+            request.method.encode(),
+            f"http://{_netloc(upstream)}{request.path}".encode(),
+            headers,
+            _producer(request.body),
+        )
+        try:
+            response = await asyncio.wait_for(_as_future(deferred), timeout_s)
+        except TimeoutError:
+            raise TryFailedError(Result.TIMED_OUT) from None
+        except (ConnectError, ConnectingCancelledError, RequestNotSent):
+            raise TryFailedError(Result.UNREACHABLE) from None
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            raise TryFailedError(Result.DIED) from error
+        return self._answer(response)
+
+    def _answer(self, response: Any) -> UpstreamAnswer:
+        body = _Body()
+        response.deliverBody(body)
+        headers = _answer_headers(response.headers)
+        raw_report = response.headers.getRawHeaders("upstream-load")
+        report = parse_report(raw_report[0]) if raw_report else None
+        shed = response.headers.getRawHeaders(SHED_HEADER.encode()) == [SHED_MARK]
+        if response.code == STATUS_UNAVAILABLE and shed:
+            raise TryFailedError(Result.SHED, report)
+        head = AnswerHead(status=response.code, headers=headers)
+        return UpstreamAnswer(head=head, report=report, _body=body)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await _as_future(self._pool.closeCachedConnections())
+
+
+def _as_future(deferred: "defer.Deferred[Any]") -> "asyncio.Future[Any]":
+    return deferred.asFuture(asyncio.get_running_loop())
+
+
+def _netloc(upstream: Upstream) -> str:
+    host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
+    return f"{host}:{upstream.port}"
+
+
+def _producer(body: bytes) -> Any:
+    if not body:
+        return None
+    return _FileBodyProducer(io.BytesIO(body))
+
+
+def _upstream_headers(request: CallerRequest, deadline_ms: int) -> HttpHeaders:
+    headers = HttpHeaders()
+    for name, value in request.headers:
+        if name not in _HOP_BY_HOP:
+            headers.addRawHeader(name.encode(), value)
+    headers.setRawHeaders("borageramp-request-id", [request.request_id])
+    headers.setRawHeaders("borageramp-deadline-ms", [str(max(1, deadline_ms))])
+    if request.key:
+        headers.setRawHeaders("idempotency-key", [request.key])
+    return headers
+
+
+def _answer_headers(headers: HttpHeaders) -> tuple[tuple[str, bytes], ...]:
+    return tuple(
+        (name.decode("latin-1").lower(), value)
+        for name, values in headers.getAllRawHeaders()
+        if name.decode("latin-1").lower() not in _HOP_BY_HOP
+        for value in values
+    )
--- /dev/null
+++ b/packages/settings/src/borageramp_settings/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of the settings; import from the package itself."""
--- /dev/null
+++ b/packages/wire/src/borageramp_wire/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Modules generated from the .proto files."""
--- /dev/null
+++ b/tests/contract/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: contract."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: unit."""
