Compare placement policies in virtual time; mend limits, hedges and suspects

Cause: each entry began with a limit of all slots and upstreams shed; ruled out: queue order.

Found by features/promises.feature, failing first: - a request that crashes upstreams killed 3: a try that died while its hedge was open was not recorded. Now at most 2. An answered suspect is cleared, also at peers, or a popular read would be condemned for an hour of bad luck. - a caller that went away left the upstream at work and a slot taken: the body's transport has no abortConnection, and the error hid the end of the try. - cold marks now go to peers at once and not with the next heartbeat.

--- a/features/faults.py
+++ b/features/faults.py
@@ -6,11 +6,21 @@
 
 from borageramp_bench.campaign import Campaign
 from borageramp_bench.fleet import Fleet
+from borageramp_bench.history import Allowance
 
 __all__ = ["FAULTS"]
 
 Fault = Callable[[Fleet, Campaign, float], None]
 VICTIM = "entry-2"
+# A cold start that nobody announced shows only in the next answer.
+NOTICE_S = 0.15
+
+
+def allow_cold(campaign: Campaign, upstream: str) -> None:
+    """Have the history check that a cold upstream gets one request at once."""
+    campaign.history.allowances.append(
+        Allowance(upstream=upstream, requests=1, from_s=time.time() + NOTICE_S)
+    )
 
 
 def nothing(fleet: Fleet, campaign: Campaign, seconds: float) -> None:
@@ -140,15 +150,17 @@
     fleet.upstreams["records-1"].kill()
     fleet.upstreams["referrals-1"].kill()
     time.sleep(seconds / 4)
-    fleet.upstreams["records-1"].start()
-    fleet.upstreams["referrals-1"].start()
+    for name in ("records-1", "referrals-1"):
+        fleet.upstreams[name].start()
+        allow_cold(campaign, name)
     time.sleep(seconds / 2)
 
 
 def upstream_cold(fleet: Fleet, campaign: Campaign, seconds: float) -> None:
-    fleet.behave("records-2", restart=True, cold_s=1.0)
-    time.sleep(seconds)
-    fleet.behave("records-2", cold_s=0.0)
+    for _ in range(2):
+        fleet.behave("records-2", restart=True)
+        allow_cold(campaign, "records-2")
+        time.sleep(seconds / 2)
 
 
 def straggler(fleet: Fleet, campaign: Campaign, seconds: float) -> None:
--- a/features/fleets.py
+++ b/features/fleets.py
@@ -4,8 +4,10 @@
 
 from borageramp_bench.fleet import FleetPlan, UpstreamPlan
 
-__all__ = ["PLANS"]
+__all__ = ["COLD_S", "PLANS"]
 
+# Upstreams bear one request at once for this long after a start.
+COLD_S = 0.5
 CENTRES = ("north", "south", "west")
 FAST: dict[str, Any] = {
     "serving_lease_s": 2.0,
@@ -22,7 +24,7 @@
             service=name,
             name=f"{name}-{i}",
             data_centre=CENTRES[i % 3],
-            behaviour={"service_s": 0.005},
+            behaviour={"service_s": 0.005, "cold_s": COLD_S, "cold_capacity": 1},
         )
         for name, count in (("records", 6), ("referrals", 3))
         for i in range(count)
@@ -34,7 +36,7 @@
             "records": {"idempotent": True, **service},
             "referrals": {"idempotent": False, **service},
         },
-        global_={"warmup_s": 0.5, "eject_s": 1.0},
+        global_={"warmup_s": 2 * COLD_S + 0.2, "eject_s": 1.0},
         entry_settings=FAST,
         linked=linked,
     )
--- /dev/null
+++ b/features/promises.feature
@@ -0,0 +1,65 @@
+@linked
+Feature: Single promises
+  Each of these is about one promise that a general campaign meets too seldom.
+
+  Scenario Outline: Probes stay within the budget while <fault>
+    When nobody calls for 6 seconds while <fault>
+    Then upstreams were probed
+    And the history keeps every promise
+
+    Examples:
+      | fault                               |
+      | nothing fails                       |
+      | an entry is killed                  |
+      | an entry is replaced                |
+      | two entries are cut from each other |
+      | the store is down                   |
+      | the list leases lapse               |
+
+  Scenario: An answer cut short reaches the caller as an error
+    When a caller asks records for "/cut?parts=6&interval_ms=10"
+    Then the answer is not whole
+
+  Scenario: Early parts pass on at once
+    When a caller asks records for "/stream?parts=10&interval_ms=50"
+    Then the first part came before a quarter of the time
+
+  Scenario: A caller that goes away cancels its read at the upstream
+    When a caller goes away from "/stream?parts=100&interval_ms=50"
+    Then the upstream sees the cancellation
+
+  Scenario: A slow reader gets the whole answer and holds little memory
+    When a slow caller reads 20000000 bytes
+    Then the slow answer is whole and the entry grew by less than 8000000 bytes
+
+  Scenario: A slow read is hedged, and the loser cancelled
+    Given records-0 takes 1500 ms
+    When callers send 300 reads in a row
+    Then every read was answered
+    And some read was hedged
+    And the upstream sees the cancellation
+
+  Scenario: A request that crashes upstreams kills at most two
+    When a request that crashes upstreams is sent 6 times beside others
+    Then at most 2 upstreams died
+    And the requests beside it were answered in the end
+    And the last refusal of it has reason crashes_upstreams
+
+  Scenario Outline: A long answer outlives <stop>
+    When a long answer is under way through entry-2 during <stop>
+    Then the long answer is whole
+
+    Examples:
+      | stop                          |
+      | the stop of its entry         |
+      | the drain of its upstream     |
+      | the outage of its data centre |
+
+  Scenario: A request that can't meet its deadline is refused at once
+    When 60 callers at once ask for reads of 400 ms with a deadline of 600 ms
+    Then every answer came or was refused within 700 ms
+    And each refusal says when to come back
+
+  Scenario: Urgent reads go first
+    When callers of both classes overload records for 3 seconds
+    Then the urgent reads were answered and the others not starved
--- a/packages/bench/src/borageramp_bench/fleet.py
+++ b/packages/bench/src/borageramp_bench/fleet.py
@@ -262,7 +262,11 @@
                     )
             return all(self._all_warm(e.status()) for e in self.entries.values())
 
-        wait_until(all_warm, "warm upstreams", within_s)
+        try:
+            wait_until(all_warm, "warm upstreams", within_s)
+        except TimeoutError as error:
+            seen = {n: e.status()["services"] for n, e in self.entries.items()}
+            raise TimeoutError(f"{error}: {json.dumps(seen)}") from None
 
     def _all_warm(self, status: dict[str, Any]) -> bool:
         return all(
--- a/packages/bench/src/borageramp_bench/history.py
+++ b/packages/bench/src/borageramp_bench/history.py
@@ -129,10 +129,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Allowance:
-    """What an upstream bears in its cold start, over all entries."""
+    """What an upstream bears in its cold start, over all entries.
+
+    Attributes
+    ----------
+    upstream : str
+        The upstream.
+    requests : int
+        Requests at once that it bears.
+    from_s : float
+        When the fleet has to know that it is cold.
+    """
 
     upstream: str
     requests: int
+    from_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -252,11 +263,15 @@
 
 def cold_allowance(history: History) -> Iterable[str]:
     """Check that a cold upstream gets no more at once than it bears."""
-    bears = {a.upstream: a.requests for a in history.allowances}
     for run in history.runs:
-        limit = bears.get(run.upstream)
-        if run.cold and limit is not None and run.in_flight > limit:
-            yield f"cold {run.upstream} had {run.in_flight} requests, bears {limit}"
+        for bears in history.allowances:
+            if run.upstream != bears.upstream or run.at_s < bears.from_s:
+                continue
+            if run.cold and run.in_flight > bears.requests:
+                yield (
+                    f"cold {run.upstream} had {run.in_flight} requests,"
+                    f" bears {bears.requests}"
+                )
 
 
 def probe_budget(history: History) -> Iterable[str]:
--- /dev/null
+++ b/packages/bench/src/borageramp_bench/policies/experiment.py
@@ -0,0 +1,437 @@
+"""One run: entries, fake upstreams and callers in virtual time."""
+
+import random
+from dataclasses import dataclass, field
+
+from borageramp_bench.policies.baselines import ProbePool, SliceThenSpill
+from borageramp_bench.policies.clock import VirtualClock
+from borageramp_bench.policies.upstreams import FakeUpstream, Job
+from borageramp_core import (
+    AttemptPlan,
+    Balancer,
+    DataCentre,
+    Finished,
+    LatencyWindow,
+    LeastEstimate,
+    Lifecycle,
+    LoadReport,
+    Ownership,
+    PassOn,
+    Placed,
+    Placement,
+    PlacementPolicy,
+    Queued,
+    RatioBudget,
+    Refused,
+    Result,
+    Retry,
+    Service,
+    ServicePolicy,
+    Snapshot,
+    Submit,
+    Suspects,
+    TwoChoices,
+    UniformRandom,
+    Upstream,
+    WarmUp,
+)
+
+__all__ = ["CLASSES", "Experiment", "Outcome", "POLICIES", "Size"]
+
+# Share of the requests and weight of service of each class.
+CLASSES = {"urgent": (0.1, 10.0), "normal": (0.7, 3.0), "background": (0.2, 1.0)}
+POLICIES = ("random", "two choices", "probe pool", "slice", "product")
+WARMUP_S = 1.0
+TICK_S = 0.005
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Size:
+    """The size of a run.
+
+    Attributes
+    ----------
+    name : str
+        For tables.
+    entries, upstreams, slots : int
+        How many there are.
+    delay_s : float
+        One-way delay between data centres.
+    mean_s : float
+        Mean time of a request at an upstream.
+    """
+
+    name: str
+    entries: int
+    upstreams: int
+    slots: int
+    delay_s: float
+    mean_s: float = 0.02
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """What a run measured.
+
+    Attributes
+    ----------
+    latencies_s : dict of str to list of float
+        Latencies of served requests, by class.
+    offered, served : dict of str to int
+        Requests, by class.
+    probes : int
+        Probes sent.
+    most_cold : int
+        Most requests at once on a cold upstream, after notice.
+    failing_share : float
+        Share of requests that a failing upstream took.
+    refused : dict of str to int
+        Refusals by reason.
+    """
+
+    latencies_s: dict[str, list[float]] = field(default_factory=dict)
+    offered: dict[str, int] = field(default_factory=dict)
+    served: dict[str, int] = field(default_factory=dict)
+    probes: int = 0
+    most_cold: int = 0
+    failing_share: float = 0.0
+    refused: dict[str, int] = field(default_factory=dict)
+
+
+class _Request:
+    """A caller's request on its way."""
+
+    __slots__ = ("class_name", "deadline_s", "done", "jobs", "plan", "sent_at_s")
+
+    def __init__(self, class_name: str, sent_at_s: float, deadline_s: float) -> None:
+        self.class_name = class_name
+        self.sent_at_s = sent_at_s
+        self.deadline_s = deadline_s
+        self.done = False
+        self.jobs: list[tuple[Job, _Entry, str]] = []
+        self.plan: AttemptPlan | None = None
+
+
+class _Entry:
+    """An entry: the core's balancer and budgets."""
+
+    def __init__(self, balancer: Balancer, policy: ServicePolicy) -> None:
+        self.balancer = balancer
+        self.retries = RatioBudget(ratio=policy.retry_ratio)
+        self.hedges = RatioBudget(ratio=policy.hedge_ratio)
+        self.latencies = LatencyWindow()
+        self.waiting: dict[str, _Request] = {}
+        self.ticking = False
+
+
+class Experiment:
+    """One run of one policy.
+
+    Parameters
+    ----------
+    size : Size
+        How large.
+    policy : str
+        One of ``POLICIES``.
+    load : float
+        Offered work as a share of all slots.
+    seconds : float
+        Virtual time for which callers send.
+    seed : int
+        Seed of arrivals and service times, the same for each policy.
+    deadline_s : float
+        Deadline of each request.
+    """
+
+    def __init__(
+        self,
+        *,
+        size: Size,
+        policy: str,
+        load: float,
+        seconds: float,
+        seed: int,
+        deadline_s: float = 1.0,
+    ) -> None:
+        self.size = size
+        self.clock = VirtualClock()
+        self.outcome = Outcome()
+        self.burst = 1.0
+        self._seconds = seconds
+        self._deadline_s = deadline_s
+        self._arrivals = random.Random(seed)
+        self._rate_hz = load * size.upstreams * size.slots / size.mean_s
+        self._ids = 0
+        self._probe_pools: list[ProbePool] = []
+        self._warmup = WarmUp()
+        self._suspects = Suspects()
+        self.settings = ServicePolicy()
+        specs = [self._spec(i) for i in range(size.upstreams)]
+        self.service = Service(name="s", policy=self.settings, upstreams=tuple(specs))
+        self.upstreams = {
+            s.id: FakeUpstream(
+                spec=s,
+                clock=self.clock,
+                mean_s=size.mean_s,
+                rng=random.Random(f"{seed} {s.id}"),
+            )
+            for s in specs
+        }
+        self._names = [f"e{i}" for i in range(size.entries)]
+        self._entries = {n: self._entry(i, policy) for i, n in enumerate(self._names)}
+
+    def _spec(self, index: int) -> Upstream:
+        return Upstream(
+            name=f"u{index}",
+            service="s",
+            data_centre=("a", "b", "c")[index % 3],
+            host="127.0.0.1",
+            port=1,
+            slots=self.size.slots,
+            warmup_s=WARMUP_S,
+        )
+
+    def _snapshot(self, out: str = "") -> Snapshot:
+        centres = {
+            n: DataCentre(name=n, state=Lifecycle.OUT if n == out else Lifecycle.IN)
+            for n in ("a", "b", "c")
+        }
+        return Snapshot(revision=1, data_centres=centres, services={"s": self.service})
+
+    def _entry(self, index: int, policy: str) -> _Entry:
+        ownership = Ownership(member=self._names[index], settle_s=0.0)
+        ownership.update(self._names, now_s=0.0)
+        for upstream in self.service.upstreams:
+            self._warmup.learn_warm(upstream.id, start_id="first", age_s=0.0, now_s=0.0)
+        balancer = Balancer(
+            service=self.service,
+            snapshot=self._snapshot(),
+            ownership=ownership,
+            warmup=self._warmup,
+            suspects=self._suspects,
+            rng=random.Random(index),
+            policy=self._policy(policy, index),
+        )
+        return _Entry(balancer, self.settings)
+
+    def _policy(self, name: str, index: int) -> PlacementPolicy:
+        if name == "random":
+            return UniformRandom()
+        if name == "two choices":
+            return TwoChoices()
+        if name == "slice":
+            return SliceThenSpill(index=index, entries=self.size.entries)
+        if name == "probe pool":
+            pool = ProbePool(probe=self._send_probe)
+            self._probe_pools.append(pool)
+            return pool
+        return LeastEstimate()
+
+    def _send_probe(self, pool: ProbePool, upstream_id: str) -> None:
+        upstream = self.upstreams[upstream_id]
+
+        def at_upstream() -> None:
+            in_flight = upstream.in_flight
+            latency_s = self.size.mean_s * upstream.slow_factor
+            self.clock.later(
+                self.size.delay_s,
+                lambda: pool.take(
+                    upstream_id,
+                    in_flight=in_flight,
+                    latency_s=latency_s,
+                    now_s=self.clock.now_s,
+                ),
+            )
+
+        self.clock.later(self.size.delay_s, at_upstream)
+
+    def set_out(self, data_centre: str) -> None:
+        """Take a data centre out, or none; all entries know at once."""
+        for entry in self._entries.values():
+            entry.balancer.apply(self.service, self._snapshot(data_centre))
+
+    def run(self) -> Outcome:
+        """Run to the end and return what was measured."""
+        self.clock.later(0.0, self._arrive)
+        self.clock.run(until_s=self._seconds + 2 * self._deadline_s)
+        self.outcome.probes = sum(pool.sent for pool in self._probe_pools)
+        return self.outcome
+
+    def _arrive(self) -> None:
+        now_s = self.clock.now_s
+        if now_s >= self._seconds:
+            return
+        rate_hz = self._rate_hz * self.burst
+        self.clock.later(self._arrivals.expovariate(rate_hz), self._arrive)
+        names = list(CLASSES)
+        shares = [CLASSES[n][0] for n in names]
+        class_name = self._arrivals.choices(names, shares)[0]
+        entry = self._entries[self._arrivals.choice(self._names)]
+        request = _Request(class_name, now_s, now_s + self._deadline_s)
+        offered = self.outcome.offered
+        offered[class_name] = offered.get(class_name, 0) + 1
+        self._ids += 1
+        first = Submit(
+            request_id=str(self._ids),
+            class_name=class_name,
+            deadline_s=request.deadline_s,
+        )
+        request.plan = AttemptPlan(
+            first=first,
+            policy=self.settings,
+            retries=entry.retries,
+            hedges=entry.hedges,
+        )
+        self._submit(entry, request, first)
+
+    def _submit(self, entry: _Entry, request: _Request, submit: Submit) -> None:
+        entry.waiting[submit.request_id] = request
+        decision = entry.balancer.submit(submit, now_s=self.clock.now_s)
+        self._decide(entry, decision)
+
+    def _decide(self, entry: _Entry, decision: Placement) -> None:
+        request_id = decision.request.request_id
+        if isinstance(decision, Queued):
+            self._tick_later(entry)
+            return
+        request = entry.waiting.pop(request_id)
+        if isinstance(decision, Placed):
+            self._send(entry, request, decision)
+        elif isinstance(decision, PassOn):
+            self._pass_on(request, decision)
+        else:
+            self._refused(request, decision)
+
+    def _pass_on(self, request: _Request, decision: PassOn) -> None:
+        peer = self._entries[decision.member]
+        submit = decision.request
+        passed = Submit(
+            request_id=submit.request_id,
+            class_name=submit.class_name,
+            deadline_s=submit.deadline_s,
+            excluded=submit.excluded,
+            passed_on=True,
+        )
+        self.clock.later(self.size.delay_s, lambda: self._submit(peer, request, passed))
+
+    def _refused(self, request: _Request, decision: Refused) -> None:
+        if any(not job.cancelled for job, _, _ in request.jobs):
+            return
+        name = f"{request.class_name} {decision.reason.value}"
+        self.outcome.refused[name] = self.outcome.refused.get(name, 0) + 1
+        request.done = True
+
+    def _send(self, entry: _Entry, request: _Request, placed: Placed) -> None:
+        sent_at_s = self.clock.now_s
+        upstream = self.upstreams[placed.upstream.id]
+        request_id = placed.request.request_id
+
+        def answer(result: Result, report: LoadReport) -> None:
+            self.clock.later(
+                self.size.delay_s,
+                lambda: self._ended(
+                    entry, request, placed, job, result, report, sent_at_s
+                ),
+            )
+
+        job = Job(answer=answer)
+        request.jobs.append((job, entry, request_id))
+        self.clock.later(self.size.delay_s, lambda: upstream.arrive(job))
+        if not placed.request.extra:
+            self._hedge_later(entry, request, placed)
+
+    def _hedge_later(self, entry: _Entry, request: _Request, placed: Placed) -> None:
+        after_s = entry.latencies.quantile_s(self.settings.hedge_quantile)
+        if after_s is None:
+            return
+
+        def hedge() -> None:
+            if request.done or request.plan is None:
+                return
+            submit = request.plan.hedge(upstream_id=placed.upstream.id)
+            if submit is None:
+                return
+            decision = entry.balancer.submit(submit, now_s=self.clock.now_s)
+            if isinstance(decision, Placed):
+                self._send(entry, request, decision)
+            else:
+                entry.balancer.cancel(submit.request_id)
+
+        self.clock.later(after_s, hedge)
+
+    def _ended(
+        self,
+        entry: _Entry,
+        request: _Request,
+        placed: Placed,
+        job: Job,
+        result: Result,
+        report: LoadReport,
+        sent_at_s: float,
+    ) -> None:
+        if job.cancelled:
+            return
+        now_s = self.clock.now_s
+        job.cancelled = True
+        finished = Finished(
+            request_id=placed.request.request_id,
+            result=result,
+            latency_s=now_s - sent_at_s,
+            report=report,
+        )
+        if result is Result.ANSWERED:
+            entry.latencies.add(finished.latency_s)
+            self._served(request)
+        else:
+            self._failed(entry, request, placed, result)
+        for decision in entry.balancer.finish(finished, now_s=now_s):
+            self._decide(entry, decision)
+
+    def _served(self, request: _Request) -> None:
+        now_s = self.clock.now_s
+        for job, entry, request_id in request.jobs:
+            if not job.cancelled:
+                job.cancelled = True
+                cancelled = Finished(
+                    request_id=request_id, result=Result.CANCELLED, latency_s=0.0
+                )
+                for decision in entry.balancer.finish(cancelled, now_s=now_s):
+                    self._decide(entry, decision)
+        if request.done or now_s > request.deadline_s:
+            return
+        request.done = True
+        name = request.class_name
+        self.outcome.served[name] = self.outcome.served.get(name, 0) + 1
+        self.outcome.latencies_s.setdefault(name, []).append(now_s - request.sent_at_s)
+
+    def _failed(
+        self, entry: _Entry, request: _Request, placed: Placed, result: Result
+    ) -> None:
+        if request.done or request.plan is None:
+            return
+        if any(not job.cancelled for job, _, _ in request.jobs):
+            request.plan.on_lost(result)
+            return
+        following = request.plan.on_result(
+            result, upstream_id=placed.upstream.id, now_s=self.clock.now_s
+        )
+        if isinstance(following, Retry):
+            submit = following.submit
+            self.clock.later(0.0, lambda: self._submit(entry, request, submit))
+        else:
+            name = f"{request.class_name} {following.reason.value}"
+            self.outcome.refused[name] = self.outcome.refused.get(name, 0) + 1
+            request.done = True
+
+    def _tick_later(self, entry: _Entry) -> None:
+        if entry.ticking:
+            return
+        entry.ticking = True
+        self.clock.later(TICK_S, lambda: self._tick(entry))
+
+    def _tick(self, entry: _Entry) -> None:
+        entry.ticking = False
+        for decision in entry.balancer.drain(now_s=self.clock.now_s):
+            self._decide(entry, decision)
+        if len(entry.balancer.queue):
+            self._tick_later(entry)
--- a/packages/bench/src/borageramp_bench/standins/upstream.py
+++ b/packages/bench/src/borageramp_bench/standins/upstream.py
@@ -133,6 +133,9 @@
                 start_id=self._start_id,
             )
             await self._run(request, path)
+        except asyncio.CancelledError:
+            self._write("cancelled", path=path)
+            raise
         finally:
             self._in_flight -= 1
 
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -35,6 +35,9 @@
 
 LATENCY_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.05
+# An upstream with this many times its slots is overloaded; below, a short
+# queue at the upstream keeps its slots busy.
+OVERLOAD_FACTOR = 1.5
 
 
 @dataclass(kw_only=True, slots=True)
@@ -49,11 +52,14 @@
         Where it runs.
     started_at_s : float
         Time at which it was placed.
+    start : str
+        Name of the upstream's start that it was placed on.
     """
 
     request: Submit
     upstream: Upstream
     started_at_s: float
+    start: str
 
 
 class Balancer:
@@ -167,7 +173,7 @@
         self, request: Submit, *, now_s: float
     ) -> Placed | PassOn | Queued | Refused:
         found = self.eligibility.find(request, now_s=now_s)
-        self.limit.set_ceiling(found.slots)
+        self.limit.set_ceiling(found.slots, entries=self.eligibility.entries)
         if found.candidates and len(self.running) < self.limit.value:
             choice = self._policy.choose(found.candidates, rng=self._rng, now_s=now_s)
             return self._start(
@@ -200,7 +206,10 @@
     ) -> Placed:
         self.loads[upstream.id].in_flight += 1
         self.running[request.request_id] = Running(
-            request=request, upstream=upstream, started_at_s=now_s
+            request=request,
+            upstream=upstream,
+            started_at_s=now_s,
+            start=self.eligibility.start_name(upstream, now_s=now_s),
         )
         queued_at_s = self._queued_at_s.pop(request.request_id, now_s)
         return Placed(
@@ -235,7 +244,7 @@
     def expected_wait_s(self, class_name: str) -> float:
         """Estimate the time that a new request of a class would wait."""
         width = max(1, self.limit.value)
-        return self.queue.ahead_of(class_name) * self.latency_s / width
+        return self.queue.expected_turns(class_name) * self.latency_s / width
 
     def finish(self, finished: Finished, *, now_s: float) -> list[Placement]:
         """Take in the end of a try.
@@ -274,6 +283,7 @@
         load.on_latency(finished.latency_s)
         self.latency_s += (finished.latency_s - self.latency_s) * LATENCY_WEIGHT
         self.outliers.on_success(running.upstream.id)
+        self._suspects.clear(running.request.fingerprint, now_s=now_s)
         start_id = finished.report.start_id if finished.report is not None else ""
         self.eligibility.on_success(running.upstream, start_id=start_id, now_s=now_s)
         self.limit.on_good(in_flight=len(self.running) + 1)
@@ -297,7 +307,7 @@
             return
         load.on_report(report, now_s=now_s)
         self.eligibility.on_leaving(upstream, report.leaving, now_s=now_s)
-        if report.in_flight > load.slots:
+        if report.in_flight > OVERLOAD_FACTOR * load.slots:
             self.limit.on_overload(now_s=now_s)
 
     def on_probe(self, upstream: Upstream, report: LoadReport, *, now_s: float) -> None:
@@ -353,13 +363,13 @@
         tuple of str
             Fingerprints of the requests that it was running.
         """
-        names = tuple(
-            r.request.fingerprint
-            for r in self.running.values()
-            if r.upstream.id == upstream.id
-        )
-        self._suspects.on_death(names, upstream=upstream.id, now_s=now_s)
-        return names
+        beside = [r for r in self.running.values() if r.upstream.id == upstream.id]
+        by_start: dict[str, list[str]] = {}
+        for running in beside:
+            by_start.setdefault(running.start, []).append(running.request.fingerprint)
+        for start, names in by_start.items():
+            self._suspects.on_death(names, upstream=start, now_s=now_s)
+        return tuple(r.request.fingerprint for r in beside)
 
     def is_suspect(self, name: str, *, now_s: float) -> bool:
         """Tell whether an upstream died under a request."""
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -116,6 +116,11 @@
         self._slow_answers: dict[str, int] = {}
         self._in_service: set[str] = set()
 
+    @property
+    def entries(self) -> int:
+        """Entries that share the upstreams."""
+        return len(self._ownership.members)
+
     def apply(self, service: Service, snapshot: Snapshot) -> None:
         """Put a new revision in force; upstreams that return are cold."""
         self._service = service
@@ -251,6 +256,11 @@
             del self._slow_answers[upstream.id]
             self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
 
+    def start_name(self, upstream: Upstream, *, now_s: float) -> str:
+        """Return a name for the present start of an upstream."""
+        state = self._warmup.state(upstream.id, now_s=now_s)
+        return f"{upstream.id}@{state.start_id or f'{state.since_s:.3f}'}"
+
     def on_start_id(self, upstream: Upstream, start_id: str, *, now_s: float) -> None:
         """Take in which start an upstream says it is."""
         known = self._warmup.state(upstream.id, now_s=now_s).start_id
--- a/packages/core/src/borageramp_core/_internal/limits.py
+++ b/packages/core/src/borageramp_core/_internal/limits.py
@@ -2,6 +2,8 @@
 
 __all__ = ["ConcurrencyLimit"]
 
+START_SHARES = 3.0
+
 
 class ConcurrencyLimit:
     """A limit that falls while upstreams are overloaded and rises again.
@@ -36,9 +38,20 @@
         limit = self._ceiling if self._limit is None else self._limit
         return int(min(limit, self._ceiling))
 
-    def set_ceiling(self, slots: int) -> None:
-        """Set the highest limit, the slots of all upstreams in use."""
+    def set_ceiling(self, slots: int, *, entries: int) -> None:
+        """Set the highest limit.
+
+        Parameters
+        ----------
+        slots : int
+            Slots of all upstreams in use.
+        entries : int
+            Entries that share them; the limit starts at twice a fair share.
+        """
         self._ceiling = float(max(self._floor, slots))
+        if self._limit is None and slots > 0:
+            fair = START_SHARES * slots / max(1, entries)
+            self._limit = max(float(self._floor), fair)
 
     def on_overload(self, *, now_s: float) -> None:
         """Take in that an upstream had more than its slots, or shed."""
--- a/packages/core/src/borageramp_core/_internal/queueing.py
+++ b/packages/core/src/borageramp_core/_internal/queueing.py
@@ -65,6 +65,23 @@
             return sum(len(lane.waiting) for lane in lanes if lane is not None)
         return self._size
 
+    def expected_turns(self, class_name: str) -> float:
+        """Estimate after how many turns a new request of a class goes.
+
+        While load goes on, a class gets turns by its weight only.
+        """
+        ahead = self.ahead_of(class_name)
+        if class_name in self._policy.urgent_classes:
+            return float(ahead)
+        lane = self._lane(class_name)
+        others = [
+            other
+            for name, other in self._lanes.items()
+            if other.waiting and name not in self._policy.urgent_classes
+        ]
+        weights = sum(o.weight for o in others if o is not lane) + lane.weight
+        return max(float(ahead), len(lane.waiting) * weights / lane.weight)
+
     def push(self, request: "Submit") -> None:
         """Add a request at the end of its class."""
         lane = self._lane(request.class_name)
--- a/packages/core/src/borageramp_core/_internal/suspects.py
+++ b/packages/core/src/borageramp_core/_internal/suspects.py
@@ -43,10 +43,19 @@
         Starts of upstreams that died while they ran it.
     seen_at_s : float
         Time of the last death.
+    cleared_at_s : float
+        Time of the last good answer after a death; deaths before it don't
+        count.
     """
 
     upstreams: set[str] = field(default_factory=set)
-    seen_at_s: float = 0.0
+    seen_at_s: float = float("-inf")
+    cleared_at_s: float = float("-inf")
+
+    @property
+    def last_s(self) -> float:
+        """Time of the last news."""
+        return max(self.seen_at_s, self.cleared_at_s)
 
 
 class Suspects:
@@ -104,26 +113,40 @@
     def learn(
         self, name: str, upstreams: Iterable[str], *, age_s: float, now_s: float
     ) -> None:
-        """Take over what a peer knows of a suspect."""
-        if age_s <= self.KEEP_S:
-            self._add(name, set(upstreams), now_s=now_s - age_s)
+        """Take over what a peer knows of a suspect; no upstreams clear it."""
+        deaths = set(upstreams)
+        if age_s > self.KEEP_S:
+            return
+        if deaths:
+            self._add(name, deaths, now_s=now_s - age_s)
+        elif name in self._suspects:
+            self._clear(self._suspects[name], at_s=now_s - age_s)
 
     def _add(self, name: str, upstreams: set[str], *, now_s: float) -> None:
         suspect = self._suspects.setdefault(name, Suspect())
+        if now_s <= suspect.cleared_at_s:
+            return
         suspect.upstreams |= upstreams
         suspect.seen_at_s = max(suspect.seen_at_s, now_s)
         self._suspects.move_to_end(name)
         while len(self._suspects) > self._limit:
             self._suspects.popitem(last=False)
 
-    def clear(self, name: str) -> None:
+    def clear(self, name: str, *, now_s: float) -> None:
         """Clear a request that was answered; condemned ones stay."""
         suspect = self._suspects.get(name)
-        if suspect is not None and len(suspect.upstreams) < self.MAX_DEATHS:
-            del self._suspects[name]
+        if suspect is not None and suspect.upstreams:
+            self._clear(suspect, at_s=now_s)
+
+    def _clear(self, suspect: Suspect, *, at_s: float) -> None:
+        condemned = len(suspect.upstreams) >= self.MAX_DEATHS
+        if condemned or at_s <= suspect.seen_at_s:
+            return
+        suspect.upstreams.clear()
+        suspect.cleared_at_s = max(suspect.cleared_at_s, at_s)
 
     def recent(self, *, now_s: float) -> Iterator[tuple[str, Suspect]]:
-        """Yield the suspects that peers should hear of."""
+        """Yield what peers should hear of, cleared suspects included."""
         for name, suspect in self._suspects.items():
-            if now_s - suspect.seen_at_s <= self.KEEP_S:
+            if now_s - suspect.last_s <= self.KEEP_S:
                 yield name, suspect
--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -44,13 +44,20 @@
 
 
 class WarmUp:
-    """The warm-up of every upstream, as one entry sees it."""
+    """The warm-up of every upstream, as one entry sees it.
+
+    Attributes
+    ----------
+    marked_cold : int
+        How often an upstream was marked as cold.
+    """
 
     # An idle gap counts as work only up to this, so that an upstream with
     # one request a minute does not pass for warm.
     MAX_STEP_S = 0.5
 
     def __init__(self) -> None:
+        self.marked_cold = 0
         self._states: dict[str, WarmState] = {}
 
     def state(self, upstream_id: str, *, now_s: float) -> WarmState:
@@ -106,6 +113,7 @@
 
     def mark_cold(self, upstream_id: str, *, start_id: str, now_s: float) -> None:
         """Start the warm-up of an upstream afresh."""
+        self.marked_cold += 1
         self._states[upstream_id] = WarmState(
             since_s=now_s, observed=True, start_id=start_id
         )
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -292,7 +292,11 @@
             rng=random.Random(self._rng.random()),
         )
         return PlacementTask(
-            balancer=balancer, reporter=self._reporter, clock=self._clock
+            balancer=balancer,
+            warmup=self._fleet.warmup,
+            on_cold=self._peers.hurry,
+            reporter=self._reporter,
+            clock=self._clock,
         )
 
     async def _housekeeping(self) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/border/statuspage.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/statuspage.py
@@ -69,6 +69,7 @@
             "suspects": {
                 name: sorted(suspect.upstreams)
                 for name, suspect in services.fleet.suspects.recent(now_s=now_s)
+                if suspect.upstreams
             },
             "keys": len(services.claims),
             "keys_taken_over_from": services.claims.incarnations(),
--- a/packages/entry/src/borageramp_entry/_internal/control/status.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/status.py
@@ -136,7 +136,7 @@
             peer_pb2.SuspectMark(
                 fingerprint=name,
                 upstreams=sorted(suspect.upstreams),
-                age_ms=int(max(0.0, now_s - suspect.seen_at_s) * MS_PER_S),
+                age_ms=int(max(0.0, now_s - suspect.last_s) * MS_PER_S),
             )
             for name, suspect in self._fleet.suspects.recent(now_s=now_s)
         ]
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -213,6 +213,7 @@
             plan=self._plan,
             late_s=self._terms.late_s,
             start_hedge=self._start_hedge,
+            on_failed=self._on_failed,
         )
         first = self._try(placed)
         try:
@@ -258,10 +259,11 @@
         self._d._reporter.metrics.extra(service=self._request.service, kind="hedge")
         return self._try(placed)
 
-    async def _after_failure(self, failed: Try, result: Result) -> Submit:
+    def _on_failed(self, failed: Try, result: Result) -> None:
         if result is Result.DIED:
             self._task.on_death(failed.upstream)
-        failed.end(result)
+
+    async def _after_failure(self, failed: Try, result: Result) -> Submit:
         if result is Result.DIED:
             await self._d._tell_peers()
         following = self._plan.on_result(
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -18,6 +18,7 @@
     Snapshot,
     Submit,
     Upstream,
+    WarmUp,
 )
 from borageramp_entry._internal.reporting import Reporter
 
@@ -36,6 +37,10 @@
     ----------
     balancer : Balancer
         Decisions on the service.
+    warmup : WarmUp
+        Warm-up states, shared by all services.
+    on_cold : callable
+        Called when an upstream was noticed to be cold.
     reporter : Reporter
         Is told each decision.
     clock : callable
@@ -43,13 +48,21 @@
     """
 
     def __init__(
-        self, *, balancer: Balancer, reporter: Reporter, clock: Callable[[], float]
+        self,
+        *,
+        balancer: Balancer,
+        warmup: WarmUp,
+        on_cold: Callable[[], None],
+        reporter: Reporter,
+        clock: Callable[[], float],
     ) -> None:
         policy = balancer.service.policy
         self.balancer = balancer
         self.retries = RatioBudget(ratio=policy.retry_ratio)
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
         self.latencies = LatencyWindow()
+        self._warmup = warmup
+        self._on_cold = on_cold
         self._reporter = reporter
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Settled]] = {}
@@ -116,7 +129,11 @@
             self.latencies.add(finished.latency_s)
         name = self.balancer.service.name
         self._reporter.metrics.tried(service=name, result=result)
+        cold_before = self._warmup.marked_cold
         self._settle(self.balancer.finish(finished, now_s=self._clock()))
+        if self._warmup.marked_cold != cold_before:
+            self._reporter.repaired("warm-up", service=name, request=request_id)
+            self._on_cold()
 
     def on_death(self, upstream: Upstream) -> tuple[str, ...]:
         """Record that an upstream died with what it was running."""
--- a/packages/entry/src/borageramp_entry/_internal/serving/race.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/race.py
@@ -43,6 +43,8 @@
         Time after the deadline for which an answer is still wanted.
     start_hedge : callable
         Starts a second try beside the given one; ``None`` if not allowed.
+    on_failed : callable
+        Gets each try that fails, and how, before its slot is given back.
     """
 
     def __init__(
@@ -52,11 +54,13 @@
         plan: AttemptPlan,
         late_s: float,
         start_hedge: Callable[[Try], Try | None],
+        on_failed: Callable[[Try, Result], None],
     ) -> None:
         self._request = request
         self._plan = plan
         self._late_s = late_s
         self._start_hedge = start_hedge
+        self._on_failed = on_failed
         self._open: dict[Opening, Try] = {}
 
     async def run(self, first: Try, *, hedge_after_s: float | None) -> Try:
@@ -112,8 +116,9 @@
             result = Result.DIED
             if isinstance(error, TryFailedError):
                 result = error.result
+            self._on_failed(ended, result)
+            ended.end(result)
             if not self._open:
                 raise RaceLostError(last=ended, result=result) from error
             self._plan.on_lost(result)
-            ended.end(result)
         return None
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -115,7 +115,7 @@
     def abort(self) -> None:
         """Close the connection, so that it isn't used again."""
         if not self._ended and self.transport is not None:
-            cast(Any, self.transport).abortConnection()
+            cast(Any, self.transport).stopProducing()
 
 
 @dataclass(kw_only=True, slots=True)
