Let slow upstreams be tried again, and read bodies without a task a part

Ruled out: ownership and allowance (both held). Change: an old latency fades to the usual one (half-life 1 s), and only slow answers count as slow. A report now counts this entry's own requests out.

--- a/packages/bench/src/borageramp_bench/policies/upstreams.py
+++ b/packages/bench/src/borageramp_bench/policies/upstreams.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from borageramp_bench.policies.clock import VirtualClock
 from borageramp_core import LoadReport, Result, Upstream
@@ -98,7 +99,7 @@
             if job.cancelled:
                 continue
             self._running += 1
-            self._clock.later(self._service_s(), lambda job=job: self._end(job))
+            self._clock.later(self._service_s(), partial(self._end, job))
 
     def _service_s(self) -> float:
         time_s = self._rng.expovariate(1.0 / self._mean_s) * self.slow_factor
@@ -108,8 +109,8 @@
         return time_s
 
     def _end(self, job: Job) -> None:
-        self._running -= 1
         self._answer(job, Result.ANSWERED)
+        self._running -= 1
         self._start_next()
 
     def _answer(self, job: Job, result: Result) -> None:
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -266,9 +266,9 @@
         self, running: Running, load: UpstreamLoad, finished: Finished, *, now_s: float
     ) -> None:
         upstream = running.upstream
-        load.in_flight -= 1
         if finished.report is not None:
             self.on_report(upstream, finished.report, now_s=now_s)
+        load.in_flight -= 1
         if finished.result is Result.ANSWERED:
             self._learn_success(running, load, finished, now_s=now_s)
         elif finished.result is Result.SHED:
@@ -280,12 +280,17 @@
     def _learn_success(
         self, running: Running, load: UpstreamLoad, finished: Finished, *, now_s: float
     ) -> None:
-        load.on_latency(finished.latency_s)
+        load.on_latency(finished.latency_s, now_s=now_s)
         self.latency_s += (finished.latency_s - self.latency_s) * LATENCY_WEIGHT
         self.outliers.on_success(running.upstream.id)
         self._suspects.clear(running.request.fingerprint, now_s=now_s)
         start_id = finished.report.start_id if finished.report is not None else ""
-        self.eligibility.on_success(running.upstream, start_id=start_id, now_s=now_s)
+        self.eligibility.on_success(
+            running.upstream,
+            start_id=start_id,
+            latency_s=finished.latency_s,
+            now_s=now_s,
+        )
         self.limit.on_good(in_flight=len(self.running) + 1)
 
     def _learn_failure(
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -241,13 +241,15 @@
         if self._warmup.is_warm(upstream.id):
             self._warmup.mark_cold(upstream.id, start_id="", now_s=now_s)
 
-    def on_success(self, upstream: Upstream, *, start_id: str, now_s: float) -> None:
+    def on_success(
+        self, upstream: Upstream, *, start_id: str, latency_s: float, now_s: float
+    ) -> None:
         """Take in a good answer."""
         self._shed_pause_s.pop(upstream.id, None)
         self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s)
         if not self._warmup.is_warm(upstream.id):
             return
-        if not self._is_slow(upstream):
+        if not self._is_slow(upstream, latency_s):
             self._slow_answers.pop(upstream.id, None)
             return
         count = self._slow_answers.get(upstream.id, 0) + 1
@@ -267,14 +269,15 @@
         if start_id and known and start_id != known:
             self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
 
-    def _is_slow(self, upstream: Upstream) -> bool:
+    def _is_slow(self, upstream: Upstream, latency_s: float) -> bool:
         latencies = sorted(
             load.latency_s for load in self._loads.values() if load.answers
         )
         if len(latencies) < 3:
             return False
         median_s = latencies[len(latencies) // 2]
-        return self._loads[upstream.id].latency_s > SLOW_FACTOR * median_s
+        average_s = self._loads[upstream.id].latency_s
+        return min(latency_s, average_s) > SLOW_FACTOR * median_s
 
     def states(self, *, now_s: float) -> list[UpstreamState]:
         """Return the state of each upstream for an operator."""
--- a/packages/core/src/borageramp_core/_internal/load.py
+++ b/packages/core/src/borageramp_core/_internal/load.py
@@ -7,6 +7,8 @@
 __all__ = ["UpstreamLoad"]
 
 LATENCY_WEIGHT = 0.1
+# An upstream that is avoided for its latency is tried again in time.
+LATENCY_HALF_LIFE_S = 1.0
 # A report says little once requests that it counted have ended.
 REPORT_HALF_LIFE_S = 0.02
 
@@ -27,6 +29,8 @@
         Time of that report.
     latency_s : float
         Moving average of its time to the first byte; 0 when unknown.
+    latency_at_s : float
+        Time of the last answer in it.
     answers : int
         Answers seen.
     """
@@ -36,23 +40,39 @@
     others: float = 0.0
     reported_at_s: float = float("-inf")
     latency_s: float = 0.0
+    latency_at_s: float = float("-inf")
     answers: int = 0
 
     def on_report(self, report: LoadReport, *, now_s: float) -> None:
-        """Take in a report that came while this entry had ``in_flight``."""
+        """Take in a report; it counts all ``in_flight`` of this entry."""
         self.others = max(0.0, float(report.in_flight - self.in_flight))
         self.reported_at_s = now_s
         if report.slots > 0:
             self.slots = report.slots
 
-    def on_latency(self, latency_s: float) -> None:
+    def on_latency(self, latency_s: float, *, now_s: float) -> None:
         """Take in the latency of an answer."""
         self.answers += 1
+        self.latency_at_s = now_s
         if self.latency_s == 0.0:
             self.latency_s = latency_s
             return
         self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
 
+    def expected_latency_s(self, *, usual_s: float, now_s: float) -> float:
+        """Return the latency to expect, which tends to the usual one.
+
+        Parameters
+        ----------
+        usual_s : float
+            What to expect of an upstream of which nothing is known.
+        now_s : float
+            Present time.
+        """
+        age_s = now_s - self.latency_at_s
+        trust = 0.5 ** min(64.0, age_s / LATENCY_HALF_LIFE_S)
+        return trust * self.latency_s + (1.0 - trust) * usual_s
+
     def estimate(self, *, usual_others: float, now_s: float) -> float:
         """Estimate the requests that the upstream has now.
 
--- a/packages/core/src/borageramp_core/_internal/placement.py
+++ b/packages/core/src/borageramp_core/_internal/placement.py
@@ -143,5 +143,6 @@
     ) -> float:
         load = candidate.load
         requests = load.estimate(usual_others=usual_others, now_s=now_s) + 1.0
-        latency_s = max(load.latency_s, floor_s)
+        latency_s = load.expected_latency_s(usual_s=floor_s, now_s=now_s)
+        latency_s = max(latency_s, floor_s)
         return latency_s * max(1.0, requests / load.slots) + 1e-6 * requests
--- a/packages/entry/src/borageramp_entry/_internal/border/callers.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/callers.py
@@ -69,8 +69,6 @@
             self._request.responseHeaders.addRawHeader(name.encode(), value)
         self._request.setHeader(b"borageramp-request-id", self._request_id.encode())
         self._request.setHeader(b"borageramp-verdict", Verdict.RAN.value.encode())
-        # Sends the head at once, also if the first part is far off.
-        self._request.write(b"")
 
     async def write(self, chunk: bytes) -> None:
         await self._ready.wait()
--- a/packages/entry/src/borageramp_entry/_internal/serving/delivery.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/delivery.py
@@ -51,12 +51,10 @@
     status = answer.head.status
     try:
         sink.start(answer.head)
-        await sink.write(b"")
-        chunks = answer.chunks()
-        while True:
-            chunk = await _next(chunks)
-            if chunk is None:
-                break
+        if not answer.ready:
+            # The head goes out at once when the first part is far off.
+            await sink.write(b"")
+        while chunk := await answer.read(BODY_IDLE_S):
             await sink.write(chunk)
     except (TryFailedError, TimeoutError):
         winner.end(Result.DIED)
@@ -68,9 +66,3 @@
     winner.end(winner.head_result)
     sink.finish()
     return Delivered(whole=True, status=status)
-
-
-async def _next(chunks: object) -> bytes | None:
-    step = anext(chunks, None)  # type: ignore[call-overload]
-    chunk: bytes | None = await asyncio.wait_for(step, BODY_IDLE_S)
-    return chunk
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -3,7 +3,6 @@
 import asyncio
 import io
 from collections import deque
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -92,20 +91,24 @@
         self._whole = reason.check(ResponseDone) is not None
         self._wake.set()
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the parts; raise if the body was cut short."""
-        while True:
-            while self._chunks:
-                chunk = self._chunks.popleft()
-                self._held_bytes -= len(chunk)
-                self._resume()
-                yield chunk
-            if self._ended:
-                break
+    @property
+    def ready(self) -> bool:
+        """Whether a part can be read without waiting."""
+        return bool(self._chunks) or self._ended
+
+    async def read(self, idle_timeout_s: float) -> bytes:
+        """Return the next part; empty at the end, raise if cut short."""
+        while not self.ready:
             self._wake.clear()
-            await self._wake.wait()
+            await asyncio.wait_for(self._wake.wait(), idle_timeout_s)
+        if self._chunks:
+            chunk = self._chunks.popleft()
+            self._held_bytes -= len(chunk)
+            self._resume()
+            return chunk
         if not self._whole:
             raise TryFailedError(Result.DIED)
+        return b""
 
     def _resume(self) -> None:
         if self._paused and self._held_bytes <= BUFFER_BYTES and not self._ended:
@@ -134,9 +137,32 @@
     report: LoadReport | None
     _body: _Body
 
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body; raise ``TryFailedError`` if cut short."""
-        return self._body.chunks()
+    @property
+    def ready(self) -> bool:
+        """Whether a part of the body can be read without waiting."""
+        return self._body.ready
+
+    async def read(self, idle_timeout_s: float) -> bytes:
+        """Return the next part of the body, as it arrives.
+
+        Parameters
+        ----------
+        idle_timeout_s : float
+            Longest wait for a part.
+
+        Returns
+        -------
+        bytes
+            The part; empty at the end of a whole body.
+
+        Raises
+        ------
+        TryFailedError
+            If the body was cut short.
+        TimeoutError
+            If no part came in time.
+        """
+        return await self._body.read(idle_timeout_s)
 
     def abort(self) -> None:
         """Drop the rest of the answer and its connection."""
