Learn slowness faster, also from tries that were given up

Cause: with 16 entries each sees few answers of a straggler, and the lost try of a hedge told nothing.

--- a/packages/bench/src/borageramp_bench/policies/experiment.py
+++ b/packages/bench/src/borageramp_bench/policies/experiment.py
@@ -392,8 +392,11 @@
         for job, entry, request_id in request.jobs:
             if not job.cancelled:
                 job.cancelled = True
+                running = entry.balancer.running[request_id]
                 cancelled = Finished(
-                    request_id=request_id, result=Result.CANCELLED, latency_s=0.0
+                    request_id=request_id,
+                    result=Result.CANCELLED,
+                    latency_s=now_s - running.started_at_s,
                 )
                 for decision in entry.balancer.finish(cancelled, now_s=now_s):
                     self._decide(entry, decision)
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -274,7 +274,9 @@
         elif finished.result is Result.SHED:
             self.limit.on_overload(now_s=now_s)
             self.eligibility.on_shed(upstream, now_s=now_s)
-        elif finished.result is not Result.CANCELLED:
+        elif finished.result is Result.CANCELLED:
+            load.on_waited(finished.latency_s, now_s=now_s)
+        else:
             self._learn_failure(running, finished, now_s=now_s)
 
     def _learn_success(
--- a/packages/core/src/borageramp_core/_internal/load.py
+++ b/packages/core/src/borageramp_core/_internal/load.py
@@ -6,9 +6,9 @@
 
 __all__ = ["UpstreamLoad"]
 
-LATENCY_WEIGHT = 0.1
+LATENCY_WEIGHT = 0.2
 # An upstream that is avoided for its latency is tried again in time.
-LATENCY_HALF_LIFE_S = 1.0
+LATENCY_HALF_LIFE_S = 3.0
 # A report says little once requests that it counted have ended.
 REPORT_HALF_LIFE_S = 0.02
 
@@ -59,6 +59,11 @@
             return
         self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
 
+    def on_waited(self, waited_s: float, *, now_s: float) -> None:
+        """Take in that an answer had not come when it was given up."""
+        if waited_s > self.latency_s:
+            self.on_latency(waited_s, now_s=now_s)
+
     def expected_latency_s(self, *, usual_s: float, now_s: float) -> float:
         """Return the latency to expect, which tends to the usual one.
 
--- a/packages/entry/src/borageramp_entry/_internal/serving/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/tries.py
@@ -105,6 +105,8 @@
         if self._ended:
             return
         self._ended = True
+        if result is Result.CANCELLED and self.answer is None:
+            self._stop_clock()
         if self.answer is not None and result in (Result.CANCELLED, Result.DIED):
             self.answer.abort()
         finished = Finished(
