Let faded latencies tie with the best

The fault is real: with a half-life of 3 s an old latency came down to the floor but never below, so by a rounding error the upstream was never tried again. Change: an old latency fades to the best one, which is below the floor.

--- a/packages/core/src/borageramp_core/_internal/placement.py
+++ b/packages/core/src/borageramp_core/_internal/placement.py
@@ -117,10 +117,10 @@
         if len(candidates) > self._sample:
             candidates = rng.sample(candidates, self._sample)
         usual_others = sum(c.load.others for c in candidates) / len(candidates)
-        floor_s = self._floor_s(candidates)
+        best_s = self._best_s(candidates)
         costs = [
             (
-                self._cost(c, floor_s=floor_s, usual_others=usual_others, now_s=now_s),
+                self._cost(c, best_s=best_s, usual_others=usual_others, now_s=now_s),
                 rng.random(),
                 c,
             )
@@ -129,20 +129,20 @@
         cost, _, best = min(costs, key=lambda item: item[:2])
         return Choice(candidate=best, why=f"least expected wait {cost * 1000:.2f} ms")
 
-    def _floor_s(self, candidates: Sequence[Candidate]) -> float:
+    def _best_s(self, candidates: Sequence[Candidate]) -> float:
         known = [c.load.latency_s for c in candidates if c.load.answers]
-        return self.EQUAL_LATENCY_FACTOR * min(known, default=1e-3)
+        return min(known, default=1e-3)
 
     def _cost(
         self,
         candidate: Candidate,
         *,
-        floor_s: float,
+        best_s: float,
         usual_others: float,
         now_s: float,
     ) -> float:
         load = candidate.load
         requests = load.estimate(usual_others=usual_others, now_s=now_s) + 1.0
-        latency_s = load.expected_latency_s(usual_s=floor_s, now_s=now_s)
-        latency_s = max(latency_s, floor_s)
+        latency_s = load.expected_latency_s(usual_s=best_s, now_s=now_s)
+        latency_s = max(latency_s, self.EQUAL_LATENCY_FACTOR * best_s)
         return latency_s * max(1.0, requests / load.slots) + 1e-6 * requests
