Tell the truth about keyed requests that are refused before their key is checked

Cause: a restarted entry without a configuration yet refused with unknown_service and not_run, while an earlier try of the same key had run through another entry. Ruled out: hedges, hops to peers and retries, whose verdicts add up over all tries. Change: an entry without a configuration says not_serving; and any refusal of a request with a well-formed key, before that key was checked, says may_have_run. Two checks that expected not_run for undated and future keys now expect may_have_run: the entry can't know, so the old ones asked for a false promise.

Also: keyed requests go out on fresh connections, as a break of an idle one leaves it open whether they ran; successions are forgotten after the window.

--- a/features/caller_path.feature
+++ b/features/caller_path.feature
@@ -12,20 +12,20 @@
 
   Scenario Outline: Bad input gets a clear refusal
     When a caller sends a request with <fault>
-    Then the refusal is <status> <reason> with verdict not_run
+    Then the refusal is <status> <reason> with verdict <verdict>
     And the refusal is logged once
 
     Examples:
-      | fault                  | status | reason                 |
-      | no service             | 400    | bad_request            |
-      | an unknown service     | 404    | unknown_service        |
-      | a malformed deadline   | 400    | bad_request            |
-      | a zero deadline        | 400    | bad_request            |
-      | an unknown class       | 400    | bad_request            |
-      | a body over the limit  | 413    | body_too_large         |
-      | no key                 | 400    | key_required           |
-      | a broken key           | 400    | bad_request            |
-      | an undated plain key   | 400    | key_without_issue_time |
+      | fault                  | status | reason                 | verdict      |
+      | no service             | 400    | bad_request            | not_run      |
+      | an unknown service     | 404    | unknown_service        | not_run      |
+      | a malformed deadline   | 400    | bad_request            | not_run      |
+      | a zero deadline        | 400    | bad_request            | not_run      |
+      | an unknown class       | 400    | bad_request            | not_run      |
+      | a body over the limit  | 413    | body_too_large         | not_run      |
+      | no key                 | 400    | key_required           | not_run      |
+      | a broken key           | 400    | bad_request            | not_run      |
+      | an undated plain key   | 400    | key_without_issue_time | may_have_run |
 
   Scenario: A missing deadline takes the service's
     When a caller sends a request with no deadline
--- a/packages/core/src/borageramp_core/_internal/claims.py
+++ b/packages/core/src/borageramp_core/_internal/claims.py
@@ -73,9 +73,18 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Clock:
-    """Offset of an incarnation's clock from that of this process."""
+    """Offset of an incarnation's clock from that of this process.
+
+    Attributes
+    ----------
+    offset_ms : int
+        Its clock less this process's.
+    until_s : float
+        Time after which all its keys are older than their window.
+    """
 
     offset_ms: int
+    until_s: float = float("inf")
 
 
 class ClaimTable:
@@ -246,7 +255,10 @@
         return claim
 
     def expire(self, *, now_s: float) -> int:
-        """Drop the keys whose window has passed; return how many."""
+        """Drop the keys whose window has passed; return how many.
+
+        Incarnations taken over go with the last of their keys.
+        """
         expired = [
             claim
             for claim in self._claims.values()
@@ -257,6 +269,10 @@
             del self._claims[str(claim.key)]
             if claim.answer is not None:
                 self._answer_bytes -= len(claim.answer.body)
+        in_use = {claim.key.incarnation for claim in self._claims.values()}
+        for name, clock in list(self._clocks.items()):
+            if clock.until_s < now_s and name not in in_use:
+                del self._clocks[name]
         return len(expired)
 
     def seal(self) -> None:
@@ -308,7 +324,8 @@
             return False
         if last:
             offset_ms = clock_ms - self.clock_ms(now_s=now_s)
-            self._clocks.setdefault(incarnation, _Clock(offset_ms=offset_ms))
+            clock = _Clock(offset_ms=offset_ms, until_s=now_s + self.window_s)
+            self._clocks.setdefault(incarnation, clock)
         for claim in claims:
             self._claims.setdefault(str(claim.key), claim)
             if claim.answer is not None:
--- a/packages/core/src/borageramp_core/_internal/membership.py
+++ b/packages/core/src/borageramp_core/_internal/membership.py
@@ -129,9 +129,14 @@
         member.in_flight = in_flight
         return member
 
-    def on_succession(self, incarnation: str, *, successor: str) -> None:
-        """Take in that a peer answers for the keys of an incarnation."""
-        self._successors[incarnation] = successor
+    def on_successions(self, successor: str, incarnations: Iterable[str]) -> None:
+        """Take in for whose keys a peer answers, besides its own."""
+        told = set(incarnations)
+        for name, known in list(self._successors.items()):
+            if known == successor and name not in told:
+                del self._successors[name]
+        for name in told:
+            self._successors[name] = successor
 
     def key_owner(self, incarnation: str) -> Member | None:
         """Return the entry that answers for the keys of an incarnation."""
--- a/packages/entry/src/borageramp_entry/_internal/border/parsing.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/parsing.py
@@ -15,6 +15,7 @@
 _TOKEN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 _KEY = re.compile(r"[\x21-\x7e]{1,255}")
 MS_PER_S = 1000
+RETRY_AFTER_S = 0.5
 # Headers that belong to this hop.
 _OWN_HEADERS = frozenset(
     {
@@ -77,8 +78,28 @@
     Raises
     ------
     RefusedError
-        If it is malformed, too large, or for an unknown service.
+        If it is malformed, too large, or for an unknown service, or if there
+        is no configuration yet. Of a request with a key an earlier try may
+        have run, so its verdict is no better than ``MAY_HAVE_RUN``.
     """
+    try:
+        return _parse(request, request_id=request_id, snapshot=snapshot, now_s=now_s)
+    except RefusedError as error:
+        if _KEY.fullmatch(request.getHeader("idempotency-key") or ""):
+            error.verdict = Verdict.MAY_HAVE_RUN
+        raise
+
+
+def _parse(
+    request: BoundedRequest, *, request_id: str, snapshot: Snapshot, now_s: float
+) -> ParsedRequest:
+    if snapshot.revision == 0:
+        raise RefusedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.NOT_SERVING,
+            detail="this entry has no configuration yet",
+            retry_after_s=RETRY_AFTER_S,
+        )
     name = request.getHeader("borageramp-service") or ""
     if not name:
         raise bad_request("the header Borageramp-Service is missing")
--- a/packages/entry/src/borageramp_entry/_internal/control/status.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/status.py
@@ -186,10 +186,9 @@
                 age_s=mark.age_ms / MS_PER_S,
                 now_s=now_s,
             )
-        for succession in status.successions:
-            self._fleet.membership.on_succession(
-                succession.incarnation, successor=status.incarnation
-            )
+        self._fleet.membership.on_successions(
+            status.incarnation, (s.incarnation for s in status.successions)
+        )
         return member
 
     def _take_warmups(self, status: peer_pb2.Status, *, now_s: float) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/binding.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/binding.py
@@ -121,8 +121,9 @@
             _check_age(now_s - issued_s, policy.key_window_s)
             return (_record_name(DATED, issued_s, BUCKET_S, key_id),)
         if not policy.accept_undated_keys:
+            # The caller may have sent the key with its time before.
             raise RefusedError(
-                verdict=Verdict.NOT_RUN,
+                verdict=Verdict.MAY_HAVE_RUN,
                 reason=Reason.KEY_WITHOUT_ISSUE_TIME,
                 detail="a plain key needs Idempotency-Key-Issued-Ms",
             )
@@ -222,7 +223,7 @@
         )
     if age_s < -CLOCK_MARGIN_S:
         raise RefusedError(
-            verdict=Verdict.NOT_RUN,
+            verdict=Verdict.MAY_HAVE_RUN,
             reason=Reason.BAD_REQUEST,
             detail="the key was issued in the future",
         )
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -225,16 +225,17 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = 32
         self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
-        self._agents: dict[float, Agent] = {}
+        self._agents: dict[tuple[float, bool], Agent] = {}
 
-    def _agent(self, connect_timeout_s: float) -> Agent:
-        agent = self._agents.get(connect_timeout_s)
+    def _agent(self, connect_timeout_s: float, *, fresh: bool) -> Agent:
+        agent = self._agents.get((connect_timeout_s, fresh))
         if agent is None:
             factory = _EndpointFactory(
                 reactor=self._reactor, connect_timeout_s=connect_timeout_s
             )
-            agent = Agent.usingEndpointFactory(self._reactor, factory, pool=self._pool)
-            self._agents[connect_timeout_s] = agent
+            pool = None if fresh else self._pool
+            agent = Agent.usingEndpointFactory(self._reactor, factory, pool=pool)
+            self._agents[connect_timeout_s, fresh] = agent
         return agent
 
     async def send(
@@ -272,7 +273,10 @@
             If no answer came, or the upstream shed the request.
         """
         headers = _upstream_headers(request, deadline_ms)
-        deferred = self._agent(connect_timeout_s).request(
+        # On a connection that was idle, a break would leave it open whether
+        # the request ran; a keyed request must not be lost to that.
+        agent = self._agent(connect_timeout_s, fresh=bool(request.key))
+        deferred = agent.request(
             request.method.encode(),
             f"http://{_netloc(upstream)}{request.path}".encode(),
             headers,
