--- a/features/promises.feature
+++ b/features/promises.feature
@@ -63,3 +63,10 @@
   Scenario: Urgent reads go first
     When callers of both classes overload records for 3 seconds
     Then the urgent reads were answered and the others not starved
+
+  Scenario: A late answer to a referral is kept for its repeat
+    Given referrals take 1200 ms
+    When a referral is sent with a deadline of 400 ms
+    Then it gets 504 deadline_passed with verdict may_have_run within 700 ms
+    When the same referral is sent again with a deadline of 4000 ms
+    Then it is answered, and ran once
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -298,3 +298,52 @@
     urgent_s = sorted(a.total_s for a in urgent)
     # Most urgent reads beat the middle of the others, in the same run.
     assert urgent_s[int(0.75 * len(urgent_s))] < served[len(served) // 2]
+
+
+@given("referrals take {millis:d} ms")
+def step(context: Any, millis: int) -> None:
+    fleet = context.fleet
+    fleet.wait_warm()
+    for plan in fleet.plan.upstreams:
+        if plan.service == "referrals":
+            fleet.behave(plan.name, service_s=millis / 1000)
+            context.add_cleanup(fleet.behave, plan.name, service_s=0.03)
+    context.key = fleet.caller("entry-1").new_key()
+
+
+@when("a referral is sent with a deadline of {deadline:d} ms")
+def step(context: Any, deadline: int) -> None:
+    context.answer = _refer(context, "entry-1", deadline)
+
+
+@when("the same referral is sent again with a deadline of {deadline:d} ms")
+def step(context: Any, deadline: int) -> None:
+    context.answer = _refer(context, "entry-2", deadline)
+
+
+def _refer(context: Any, entry: str, deadline_ms: int) -> Any:
+    fleet = context.fleet
+    return fleet.caller(entry).send(
+        "referrals",
+        "/echo/late",
+        method="POST",
+        key=context.key,
+        body=b"{}",
+        deadline_ms=deadline_ms,
+        address=fleet.entries[entry].caller_address,
+    )
+
+
+@then("it gets {status:d} {reason} with verdict {verdict} within {limit:d} ms")
+def step(context: Any, status: int, reason: str, verdict: str, limit: int) -> None:
+    answer = context.answer
+    seen = (answer.status, answer.reason, answer.verdict)
+    assert seen == (status, reason, verdict), answer
+    assert answer.total_s * 1000 < limit, answer
+
+
+@then("it is answered, and ran once")
+def step(context: Any) -> None:
+    assert context.answer.status == 200, context.answer
+    runs = [r for r in context.fleet.runs() if r["key"] == context.key]
+    assert len(runs) == 1, runs
--- a/packages/bench/src/borageramp_bench/policies/__main__.py
+++ b/packages/bench/src/borageramp_bench/policies/__main__.py
@@ -4,10 +4,10 @@
 import statistics
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
 
 from borageramp_bench.policies.experiment import POLICIES, Experiment
-from borageramp_bench.policies.records import CLASSES, Outcome, Size
+from borageramp_bench.policies.plot import plot_rows
+from borageramp_bench.policies.records import CLASSES, Outcome, Row, Size
 
 SIZES = {
     "records": Size(name="records", entries=16, upstreams=17, slots=6, delay_s=0.001),
@@ -124,25 +124,6 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Row:
-    """One line of the table."""
-
-    size: str
-    disturbance: str
-    load: float
-    policy: str
-    p50_ms: float
-    p99_ms: float
-    p999_ms: float
-    urgent_p99_ms: float
-    urgent_lost: int
-    served: float
-    probes: float
-    most_cold: int
-    failing_share: float
-
-
 def run_one(
     size: str, disturbance: str, load: float, policy: str, seconds: float, seed: int
 ) -> Row:
@@ -198,6 +179,7 @@
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--plot", metavar="FILE", help="draw the p99 into a picture")
     args = parser.parse_args()
     calls = [
         (size, disturbance, load, policy, args.seconds, args.seed)
@@ -211,6 +193,7 @@
         f"{'p99':>8}{'p99.9':>8}{'urgent99':>9}{'lost':>5}{'served':>8}"
         f"{'probes':>7}{'cold':>5}{'failing':>8}"
     )
+    rows: list[Row] = []
     with ProcessPoolExecutor(args.processes) as pool:
         for row in pool.map(run_one, *zip(*calls, strict=True)):
             print(
@@ -221,6 +204,9 @@
                 f"{row.failing_share:>8.2%}",
                 flush=True,
             )
+            rows.append(row)
+    if args.plot:
+        plot_rows(rows, args.plot)
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/borageramp_bench/policies/records.py
+++ b/packages/bench/src/borageramp_bench/policies/records.py
@@ -11,7 +11,7 @@
     ServicePolicy,
 )
 
-__all__ = ["CLASSES", "Outcome", "Request", "SimulatedEntry", "Size"]
+__all__ = ["CLASSES", "Outcome", "Request", "Row", "SimulatedEntry", "Size"]
 
 # Share of the requests and weight of service of each class.
 CLASSES = {"urgent": (0.1, 10.0), "normal": (0.7, 3.0), "background": (0.2, 1.0)}
@@ -94,3 +94,42 @@
         self.latencies = LatencyWindow()
         self.waiting: dict[str, Request] = {}
         self.ticking = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Row:
+    """One line of the table.
+
+    Attributes
+    ----------
+    size, disturbance, policy : str
+        What was run.
+    load : float
+        Offered work as a share of all slots.
+    p50_ms, p99_ms, p999_ms, urgent_p99_ms : float
+        Latencies of served requests, and of urgent ones alone.
+    urgent_lost : int
+        Urgent requests that were not served.
+    served : float
+        Share of the requests served, weighted by class.
+    probes : float
+        Probes a request.
+    most_cold : int
+        Most requests at once on a cold upstream, after notice.
+    failing_share : float
+        Share of the requests that a failing upstream took after a second.
+    """
+
+    size: str
+    disturbance: str
+    load: float
+    policy: str
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    urgent_p99_ms: float
+    urgent_lost: int
+    served: float
+    probes: float
+    most_cold: int
+    failing_share: float
