--- a/packages/bench/src/borageramp_bench/policies/__main__.py
+++ b/packages/bench/src/borageramp_bench/policies/__main__.py
@@ -91,7 +91,7 @@
 
     run.clock.later(DISTURB_AT_S, lambda: run.set_out("a"))
     run.clock.later(DISTURB_AT_S + 0.5, back)
-    run.clock.later(run._seconds, lambda: _note_cold(run))
+    run.clock.later(run.seconds, lambda: _note_cold(run))
 
 
 def cold_again(run: Experiment) -> None:
@@ -107,7 +107,7 @@
 
     run.clock.later(DISTURB_AT_S, cold)
     run.clock.later(DISTURB_AT_S + NOTICE_S, forget)
-    run.clock.later(run._seconds, lambda: _note_cold(run))
+    run.clock.later(run.seconds, lambda: _note_cold(run))
 
 
 def _note_cold(run: Experiment) -> None:
--- a/packages/core/src/borageramp_core/_internal/configuration.py
+++ b/packages/core/src/borageramp_core/_internal/configuration.py
@@ -112,6 +112,10 @@
         """Tell whether the store has answered within the lease."""
         return self._store_at_s >= now_s - self._lease_s
 
+    def store_is_fresh(self, *, now_s: float) -> bool:
+        """Tell whether there is time to ask peers if the store went away now."""
+        return self._store_at_s >= now_s - self._lease_s / 2
+
     def forget(self, members: Collection[str]) -> None:
         """Drop what was heard from entries that left the list."""
         kept = set(members)
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -39,7 +39,7 @@
 from borageramp_entry._internal.metrics import Metrics
 from borageramp_entry._internal.reporting import Reporter
 from borageramp_entry._internal.serving.binding import KeyBinder
-from borageramp_entry._internal.serving.dispatcher import Dispatcher
+from borageramp_entry._internal.serving.dispatcher import Dispatcher, DispatchParts
 from borageramp_entry._internal.serving.keyed import KeyedRequests
 from borageramp_entry._internal.serving.placement import PlacementTask
 from borageramp_entry._internal.serving.probing import ProbeTask
@@ -142,6 +142,7 @@
             on_lease_taken_again=lambda: self._reporter.repaired(
                 "lease taken again", entry=settings.name
             ),
+            clock=self._clock,
         )
 
     def _make_peer(self, address: str) -> PeerTask:
@@ -159,8 +160,7 @@
         membership = self._fleet.membership
         relay = PeerRelay(membership=membership, peers=self._peers, clock=self._clock)
         self._client = UpstreamClient(reactor=self._reactor)
-        dispatcher = Dispatcher(
-            find_task=self._placements.get,
+        parts = DispatchParts(
             client=self._client,
             relay=relay,
             reporter=self._reporter,
@@ -168,6 +168,7 @@
             tell_peers=self._tell_peers,
             clock=self._clock,
         )
+        dispatcher = Dispatcher(find_task=self._placements.get, parts=parts)
         self._binder = KeyBinder(
             store=self._store,
             claims=self._fleet.claims,
--- a/packages/entry/src/borageramp_entry/_internal/control/peers.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/peers.py
@@ -17,6 +17,9 @@
 
 _log = get_logger(__name__)
 
+# A peer that was heard within this many intervals needs no heartbeat.
+NEEDLESS_BEATS = 1.8
+
 PEER_FAILURES = (
     GRPCError,
     ProtocolError,
@@ -78,7 +81,8 @@
         """Exchange heartbeats until cancelled."""
         try:
             while True:
-                await self.beat()
+                if not self._needless():
+                    await self.beat()
                 self._wake.clear()
                 try:
                     await asyncio.wait_for(self._wake.wait(), self._interval_s)
@@ -87,6 +91,19 @@
         finally:
             self.channel.close()
 
+    def _needless(self) -> bool:
+        """Tell whether the peer was heard lately and the store vouches for us.
+
+        One of two peers then beats for both. In an outage of the store each
+        needs answers of its own, since only those prove when they were given.
+        """
+        if self._wake.is_set() or self._new:
+            return False
+        now_s = self._clock()
+        heard_at_s = self._exchange.heard_at_s(self.address)
+        lately = now_s - heard_at_s < NEEDLESS_BEATS * self._interval_s
+        return lately and self._lease.store_is_fresh(now_s=now_s)
+
     async def beat(self) -> bool:
         """Exchange one heartbeat; tell whether the peer answered."""
         asked_at_s = self._clock()
--- a/packages/entry/src/borageramp_entry/_internal/control/registry.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/registry.py
@@ -12,6 +12,9 @@
 
 _log = get_logger(__name__)
 
+# The lease is extended when this share of it has passed.
+KEEP_SHARE = 0.3
+
 
 class RegistryTask:
     """Keeps this entry on the list, and reads the list.
@@ -30,6 +33,8 @@
         Gets the list whenever it was read.
     on_lease_taken_again : callable
         Called when the lease had lapsed and was taken again.
+    clock : callable
+        Returns the present time in seconds.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
         interval_s: float,
         on_list: Callable[[Iterable[ListedEntry]], None],
         on_lease_taken_again: Callable[[], None],
+        clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._own = own
@@ -49,6 +55,8 @@
         self._on_list = on_list
         self._on_lease_taken_again = on_lease_taken_again
         self._lease_id = 0
+        self._kept_at_s = float("-inf")
+        self._clock = clock
         self._leaving = False
 
     @property
@@ -66,11 +74,16 @@
             await asyncio.sleep(self._interval_s)
 
     async def _keep(self) -> None:
+        now_s = self._clock()
+        if now_s - self._kept_at_s < self._lease_s * KEEP_SHARE:
+            return
         if self._lease_id and await self._store.keep_lease(self._lease_id):
+            self._kept_at_s = now_s
             return
         taken_again = self._lease_id != 0
         self._lease_id = await self._store.grant_lease(self._lease_s)
         await self._write()
+        self._kept_at_s = now_s
         if taken_again:
             self._on_lease_taken_again()
 
--- a/packages/entry/src/borageramp_entry/_internal/control/status.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/status.py
@@ -83,6 +83,17 @@
         self._store_reachable = store_reachable
         self._clock = clock
 
+    def heard_at_s(self, peer_address: str) -> float:
+        """Return when the peer at an address was last heard."""
+        return max(
+            (
+                member.heard_at_s
+                for member in self._fleet.membership.peers()
+                if member.listed.peer_address == peer_address
+            ),
+            default=float("-inf"),
+        )
+
     def status(
         self, *, wants_warm: bool = False, for_new: bool = False
     ) -> peer_pb2.Status:
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -26,7 +26,7 @@
 from borageramp_entry._internal.serving.tries import Try
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
 
-__all__ = ["Dispatcher", "Terms"]
+__all__ = ["DispatchParts", "Dispatcher", "Terms"]
 
 MIN_RETRY_AFTER_S = 0.1
 
@@ -47,13 +47,12 @@
     may_dispatch: Callable[[], bool] = lambda: True
 
 
-class Dispatcher:
-    """Dispatches requests to upstreams.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchParts:
+    """What a dispatch works with.
 
-    Parameters
+    Attributes
     ----------
-    find_task : callable
-        Returns the placement task of a service, ``None`` if there is none.
     client : UpstreamClient
         Connections to upstreams.
     relay : PeerRelay
@@ -68,24 +67,33 @@
         Returns the present time in seconds.
     """
 
+    client: UpstreamClient
+    relay: PeerRelay
+    reporter: Reporter
+    may_serve: Callable[[], bool]
+    tell_peers: Callable[[], Awaitable[None]]
+    clock: Callable[[], float]
+
+
+class Dispatcher:
+    """Dispatches requests to upstreams.
+
+    Parameters
+    ----------
+    find_task : callable
+        Returns the placement task of a service, ``None`` if there is none.
+    parts : DispatchParts
+        What a dispatch works with.
+    """
+
     def __init__(
         self,
         *,
         find_task: Callable[[str], PlacementTask | None],
-        client: UpstreamClient,
-        relay: PeerRelay,
-        reporter: Reporter,
-        may_serve: Callable[[], bool],
-        tell_peers: Callable[[], Awaitable[None]],
-        clock: Callable[[], float],
+        parts: DispatchParts,
     ) -> None:
         self._find_task = find_task
-        self._client = client
-        self._relay = relay
-        self._reporter = reporter
-        self._may_serve = may_serve
-        self._tell_peers = tell_peers
-        self._clock = clock
+        self._parts = parts
 
     async def run(
         self, request: CallerRequest, sink: AnswerSink, *, terms: Terms | None = None
@@ -118,7 +126,7 @@
                 reason=Reason.UNKNOWN_SERVICE,
                 detail=f"there is no service {request.service!r}",
             )
-        run = _Run(self, task, request, sink, terms or Terms())
+        run = _Run(self._parts, task, request, sink, terms or Terms())
         return await run.to_end()
 
 
@@ -127,13 +135,13 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
+        parts: DispatchParts,
         task: PlacementTask,
         request: CallerRequest,
         sink: AnswerSink,
         terms: Terms,
     ) -> None:
-        self._d = dispatcher
+        self._parts = parts
         self._task = task
         self._request = request
         self._sink = sink
@@ -173,7 +181,7 @@
             submit = outcome
 
     def _check_terms(self, placed: Placed) -> None:
-        if self._d._may_serve() and self._terms.may_dispatch():
+        if self._parts.may_serve() and self._terms.may_dispatch():
             return
         self._task.finish(placed.request.request_id, Result.CANCELLED)
         raise RefusedError(
@@ -192,9 +200,9 @@
         )
 
     async def _pass_on(self, decision: PassOn) -> Delivered:
-        self._d._reporter.metrics.extra(service=self._request.service, kind="hop")
+        self._parts.reporter.metrics.extra(service=self._request.service, kind="hop")
         try:
-            return await self._d._relay.execute(
+            return await self._parts.relay.execute(
                 decision.member,
                 self._request,
                 purpose=decision.purpose,
@@ -222,11 +230,10 @@
             return await self._after_failure(lost.last, lost.result)
         if winner.head_result is Result.ERROR:
             following = self._plan.on_result(
-                Result.ERROR, upstream_id=winner.upstream.id, now_s=self._d._clock()
+                Result.ERROR, upstream_id=winner.upstream.id, now_s=self._parts.clock()
             )
             if isinstance(following, Retry):
-                winner.answer.abort()  # type: ignore[union-attr]
-                winner.end(Result.ERROR)
+                winner.discard()
                 return self._retry(following, winner.upstream, Result.ERROR)
         return await self._deliver(winner)
 
@@ -234,8 +241,8 @@
         return Try(
             placed=placed,
             task=self._task,
-            client=self._d._client,
-            clock=self._d._clock,
+            client=self._parts.client,
+            clock=self._parts.clock,
         )
 
     def _hedge_after_s(self) -> float | None:
@@ -246,7 +253,7 @@
 
     def _suspect(self) -> bool:
         return self._task.balancer.is_suspect(
-            self._first.fingerprint, now_s=self._d._clock()
+            self._first.fingerprint, now_s=self._parts.clock()
         )
 
     def _start_hedge(self, beside: Try) -> Try | None:
@@ -256,7 +263,7 @@
         placed = self._task.place_now(submit)
         if placed is None:
             return None
-        self._d._reporter.metrics.extra(service=self._request.service, kind="hedge")
+        self._parts.reporter.metrics.extra(service=self._request.service, kind="hedge")
         return self._try(placed)
 
     def _on_failed(self, failed: Try, result: Result) -> None:
@@ -265,9 +272,9 @@
 
     async def _after_failure(self, failed: Try, result: Result) -> Submit:
         if result is Result.DIED:
-            await self._d._tell_peers()
+            await self._parts.tell_peers()
         following = self._plan.on_result(
-            result, upstream_id=failed.upstream.id, now_s=self._d._clock()
+            result, upstream_id=failed.upstream.id, now_s=self._parts.clock()
         )
         if isinstance(following, Retry):
             return self._retry(following, failed.upstream, result)
@@ -279,8 +286,8 @@
         )
 
     def _retry(self, retry: Retry, upstream: Upstream, result: Result) -> Submit:
-        self._d._reporter.metrics.extra(service=self._request.service, kind="retry")
-        self._d._reporter.decided(
+        self._parts.reporter.metrics.extra(service=self._request.service, kind="retry")
+        self._parts.reporter.decided(
             self._request.request_id,
             "retry",
             after=result.value,
@@ -290,7 +297,7 @@
 
     async def _deliver(self, winner: Try) -> Delivered:
         delivered = await deliver(winner, self._sink)
-        self._d._reporter.decided(
+        self._parts.reporter.decided(
             self._request.request_id,
             "answered" if delivered.whole else "cut short",
             upstream=winner.upstream.name,
--- a/packages/entry/src/borageramp_entry/_internal/serving/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/tries.py
@@ -117,6 +117,12 @@
         )
         self._task.finish(self._id, result, finished=finished)
 
+    def discard(self) -> None:
+        """Drop an answer that says it failed, and give the slot back."""
+        if self.answer is not None:
+            self.answer.abort()
+        self.end(Result.ERROR)
+
     def cancel(self, opening: "asyncio.Future[UpstreamAnswer]") -> None:
         """Cancel the try at the upstream, and give the slot back."""
         opening.cancel()
