Take an upstream as overloaded by requests over its slots, not by a factor

With 3 slots, 1.5 times is 5 requests, which chance alone brings, so the limit fell and requests waited at entries. Change: over slots plus 3, which is the same for 6 slots.

--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -35,9 +35,9 @@
 
 LATENCY_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.05
-# An upstream with this many times its slots is overloaded; below, a short
-# queue at the upstream keeps its slots busy.
-OVERLOAD_FACTOR = 1.5
+# An upstream with this many requests over its slots is overloaded; below, a
+# short queue at the upstream keeps its slots busy.
+OVERLOAD_QUEUE = 3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -315,7 +315,7 @@
             return
         load.on_report(report, now_s=now_s)
         self.eligibility.on_leaving(upstream, report.leaving, now_s=now_s)
-        if report.in_flight > OVERLOAD_FACTOR * load.slots:
+        if report.in_flight > load.slots + OVERLOAD_QUEUE:
             self.limit.on_overload(now_s=now_s)
 
     def on_probe(self, upstream: Upstream, report: LoadReport, *, now_s: float) -> None:
