--- a/features/promises.feature
+++ b/features/promises.feature
@@ -70,3 +70,8 @@
     Then it gets 504 deadline_passed with verdict may_have_run within 700 ms
     When the same referral is sent again with a deadline of 4000 ms
     Then it is answered, and ran once
+
+  Scenario: A key whose owner is frozen is refused at once, not held
+    When a referral was answered through entry-1 and its owner entry-1 is frozen
+    And the same referral is sent again with a deadline of 5000 ms
+    Then it gets 503 owner_unreachable with verdict may_have_run within 1000 ms
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -347,3 +347,14 @@
     assert context.answer.status == 200, context.answer
     runs = [r for r in context.fleet.runs() if r["key"] == context.key]
     assert len(runs) == 1, runs
+
+
+@when("a referral was answered through {entry} and its owner {owner} is frozen")
+def step(context: Any, entry: str, owner: str) -> None:
+    fleet = context.fleet
+    fleet.wait_warm()
+    context.key = fleet.caller(owner).new_key()
+    assert _refer(context, entry, 2000).status == 200
+    fleet.entries[owner].process.freeze()
+    # The time after which a silent peer counts as gone.
+    time.sleep(3.0)
--- a/packages/bench/src/borageramp_bench/capacity.py
+++ b/packages/bench/src/borageramp_bench/capacity.py
@@ -1,7 +1,7 @@
 """Slopes for docs/CAPACITY.md: what grows with entries, services and upstreams.
 
 Run as ``python -m borageramp_bench.capacity``; each section can be run alone
-by name: ``decisions``, ``configuration``, ``members``, ``fleet``.
+by name: ``decisions``, ``configuration``, ``members``, ``state``, ``fleet``.
 """
 
 import argparse
@@ -15,6 +15,8 @@
 from borageramp_bench.hop import cpu_s, resident_bytes
 from borageramp_core import (
     Balancer,
+    BoundKey,
+    ClaimTable,
     Finished,
     Ownership,
     Placed,
@@ -149,6 +151,39 @@
         yield f"{upstreams:>6} upstreams: {cost_us / 1000:>8.1f} ms a member change"
 
 
+def state() -> Iterator[str]:
+    """Measure the memory of balancers and claims."""
+    resolver = Resolver()
+    snapshot = resolver.resolve(_tree(890, 35), revision=1).snapshot
+    ownership = Ownership(member="e", settle_s=0.0)
+    ownership.update([f"e{i}" for i in range(18)], now_s=0.0)
+    warmup, suspects = WarmUp(), Suspects()
+    before_mb = resident_mb()
+    balancers = [
+        Balancer(
+            service=service,
+            snapshot=snapshot,
+            ownership=ownership,
+            warmup=warmup,
+            suspects=suspects,
+            rng=random.Random(1),
+        )
+        for service in snapshot.services.values()
+    ]
+    for balancer in balancers:
+        for upstream in balancer.service.upstreams:
+            warmup.state(upstream.id, now_s=0.0)
+            ownership.owner(upstream.id, now_s=0.0)
+    grown_mb = resident_mb() - before_mb
+    yield f"{len(balancers)} services, 31150 upstreams: grown by {grown_mb:.1f} MB"
+    before_mb = resident_mb()
+    table = ClaimTable(incarnation="e", started_at_s=0.0, max_claims=100_000)
+    for i in range(50_000):
+        key = BoundKey(incarnation="e", issued_ms=0, nonce=str(i))
+        table.admit(key, digest="d" * 24, now_s=0.0)
+    yield f"50000 keys without answers: grown by {resident_mb() - before_mb:.1f} MB"
+
+
 def fleet() -> Iterator[str]:
     """Measure the control cost of idle entries, by entries."""
     for entries in (3, 6, 12, 18):
@@ -192,6 +227,7 @@
     "decisions": decisions,
     "configuration": configuration,
     "members": members,
+    "state": state,
     "fleet": fleet,
 }
 
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -122,8 +122,10 @@
         known = {u.id: u for u in service.upstreams}
         for upstream in service.upstreams:
             self.loads.setdefault(upstream.id, UpstreamLoad(slots=upstream.slots))
-        for upstream_id in [k for k in self.loads if k not in known]:
-            del self.loads[upstream_id]
+        for upstream_id, load in list(self.loads.items()):
+            # What is still running there has to be counted out.
+            if upstream_id not in known and load.in_flight == 0:
+                del self.loads[upstream_id]
         self.outliers.max_share = service.policy.eject_max_share
         self.outliers.keep_only(known)
         self.queue.apply(service.policy)
--- a/packages/entry/src/borageramp_entry/_internal/serving/delivery.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/delivery.py
@@ -8,7 +8,7 @@
 from borageramp_entry._internal.serving.tries import Try
 from borageramp_entry._internal.serving.upstreams import TryFailedError
 
-__all__ = ["Delivered", "deliver"]
+__all__ = ["BODY_IDLE_S", "Delivered", "deliver"]
 
 # An upstream that sends nothing for this long has lost the answer.
 BODY_IDLE_S = 30.0
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -1,5 +1,6 @@
 """Takes a request through placement, tries, retries and hedges to its answer."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -29,6 +30,9 @@
 __all__ = ["DispatchParts", "Dispatcher", "Terms"]
 
 MIN_RETRY_AFTER_S = 0.1
+# Owners that can't be reached are few; another is chosen this many times.
+MAX_UNSENT_HOPS = 4
+HOP_PAUSE_S = 0.02
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +150,7 @@
         self._request = request
         self._sink = sink
         self._terms = terms
+        self._unsent_hops = 0
         self._first = Submit(
             request_id=request.request_id,
             class_name=request.class_name,
@@ -173,7 +178,10 @@
             if isinstance(decision, Refused):
                 raise self._refusal(decision)
             if isinstance(decision, PassOn):
-                return await self._pass_on(decision)
+                delivered = await self._pass_on(decision)
+                if delivered is None:
+                    continue
+                return delivered
             self._check_terms(decision)
             outcome = await self._attempt(decision)
             if isinstance(outcome, Delivered):
@@ -199,7 +207,8 @@
             retry_after_s=refused.retry_after_s,
         )
 
-    async def _pass_on(self, decision: PassOn) -> Delivered:
+    async def _pass_on(self, decision: PassOn) -> Delivered | None:
+        """Have a peer run the request; ``None`` if another may be asked."""
         self._parts.reporter.metrics.extra(service=self._request.service, kind="hop")
         try:
             return await self._parts.relay.execute(
@@ -210,10 +219,17 @@
                 late_s=self._terms.late_s,
             )
         except RefusedError as error:
-            if self._plan.verdict is Verdict.NOT_RUN:
+            if self._plan.verdict is not Verdict.NOT_RUN:
+                error.verdict = Verdict.MAY_HAVE_RUN
                 raise
-            error.verdict = Verdict.MAY_HAVE_RUN
-            raise
+            unsent = error.reason is Reason.OWNER_UNREACHABLE and (
+                error.verdict is Verdict.NOT_RUN
+            )
+            self._unsent_hops += unsent
+            if not unsent or self._unsent_hops >= MAX_UNSENT_HOPS:
+                raise
+        await asyncio.sleep(HOP_PAUSE_S)
+        return None
 
     async def _attempt(self, placed: Placed) -> Delivered | Submit:
         race = Race(
--- a/packages/entry/src/borageramp_entry/_internal/serving/relay.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/relay.py
@@ -7,7 +7,7 @@
 
 from borageramp_core import Member, Membership, Reason, RefusedError, Verdict
 from borageramp_entry._internal.control.peers import PEER_FAILURES, PeerTasks
-from borageramp_entry._internal.serving.delivery import Delivered
+from borageramp_entry._internal.serving.delivery import BODY_IDLE_S, Delivered
 from borageramp_entry._internal.serving.requests import (
     AnswerHead,
     AnswerSink,
@@ -19,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 RETRY_AFTER_S = 0.5
+# The peer's own refusal at the deadline goes before ours.
+HEAD_SLACK_S = 0.1
 MS_PER_S = 1000
 
 
@@ -100,6 +102,8 @@
         member = self._membership.get(incarnation)
         if member is None:
             raise _unreachable(unsent, "the peer is not known")
+        if not self._membership.is_alive(member, now_s=self._clock()):
+            raise _unreachable(unsent, "the peer has been silent")
         stub = await self._connected(member, unsent)
         left_s = max(0.0, request.deadline_s - self._clock()) + late_s
         message = _message(
@@ -112,10 +116,10 @@
         try:
             async with stub.Execute.open() as stream:
                 await stream.send_message(message, end=True)
-                head_wait_s = left_s + RETRY_AFTER_S
+                head_wait_s = left_s + HEAD_SLACK_S
                 part = await asyncio.wait_for(stream.recv_message(), head_wait_s)
                 while part is not None and not await reader.take(part):
-                    part = await stream.recv_message()
+                    part = await asyncio.wait_for(stream.recv_message(), BODY_IDLE_S)
         except PEER_FAILURES as error:
             if isinstance(error, GRPCError) and reader.done:
                 return reader.delivered()
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -77,6 +77,18 @@
     assert [type(d) for d in decisions] == [Refused]
 
 
+def test_upstream_removed_and_added_again_keeps_count() -> None:
+    upstream = make_upstream(slots=2)
+    service, empty = make_service(upstream), make_service()
+    balancer = make_balancer(service)
+    balancer.submit(make_submit("r0"), now_s=0.0)
+    balancer.apply(empty, make_snapshot(empty))
+    balancer.apply(service, make_snapshot(service))
+    assert balancer.loads[upstream.id].in_flight == 1
+    finish(balancer, "r0", Result.ANSWERED)
+    assert balancer.loads[upstream.id].in_flight == 0
+
+
 def test_leaving_upstream_gets_nothing() -> None:
     upstream = make_upstream()
     balancer = make_balancer(make_service(upstream))
