Keep urgent requests off slow upstreams when capacity is short

Cause: at the smaller services two stragglers leave less capacity than the load (114% at referrals, 121% at documents), and urgent p99 rose to 4 or 5 times the calm one. Latencies then hold the upstreams' queues, so a slow one no longer stood out; slow ones were the only ones with room; a hedge that found no room was not tried again; and others' hedges used the budget up.

--- a/packages/bench/src/borageramp_bench/policies/baselines.py
+++ b/packages/bench/src/borageramp_bench/policies/baselines.py
@@ -65,7 +65,12 @@
         del self._pool[:-POOL_SIZE]
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
         for candidate in rng.sample(
@@ -106,7 +111,12 @@
         self._entries = entries
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
         ordered = sorted(candidates, key=lambda c: c.upstream.id)
--- a/packages/bench/src/borageramp_bench/policies/experiment.py
+++ b/packages/bench/src/borageramp_bench/policies/experiment.py
@@ -45,6 +45,7 @@
 POLICIES = ("random", "two choices", "probe pool", "slice", "product")
 WARMUP_S = 1.0
 TICK_S = 0.005
+HEDGE_PAUSE_S = 0.02
 
 
 class Experiment:
@@ -199,11 +200,12 @@
             class_name=class_name,
             deadline_s=request.deadline_s,
         )
+        urgent = class_name in self.settings.urgent_classes
         request.plan = AttemptPlan(
             first=first,
             policy=self.settings,
             retries=entry.retries,
-            hedges=entry.hedges,
+            hedges=entry.urgent_hedges if urgent else entry.hedges,
         )
         self._submit(entry, request, first)
 
@@ -281,6 +283,8 @@
                 self._send(entry, request, decision)
             else:
                 entry.balancer.cancel(submit.request_id)
+                request.plan.hedge_not_placed()
+                self.clock.later(HEDGE_PAUSE_S, hedge)
 
         self.clock.later(after_s, hedge)
 
--- a/packages/bench/src/borageramp_bench/policies/records.py
+++ b/packages/bench/src/borageramp_bench/policies/records.py
@@ -91,6 +91,7 @@
         self.balancer = balancer
         self.retries = RatioBudget(ratio=policy.retry_ratio)
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
+        self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
         self.waiting: dict[str, Request] = {}
         self.ticking = False
--- a/packages/core/src/borageramp_core/_internal/attempts.py
+++ b/packages/core/src/borageramp_core/_internal/attempts.py
@@ -131,6 +131,11 @@
         self._excluded |= {upstream_id}
         return self._next()
 
+    def hedge_not_placed(self) -> None:
+        """Take in that no upstream had room for a hedge; it may come later."""
+        self._hedges.give_back()
+        self._tries -= 1
+
     def _next(self) -> Submit:
         self._tries += 1
         base, _, _ = self._last.request_id.partition("#")
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from dataclasses import dataclass
 
 from borageramp_core._internal.eligibility import Eligibility
 from borageramp_core._internal.limits import ConcurrencyLimit
@@ -28,10 +27,11 @@
 from borageramp_core._internal.placement import LeastEstimate, PlacementPolicy
 from borageramp_core._internal.queueing import ClassQueue
 from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.running import Running
 from borageramp_core._internal.suspects import Suspects
 from borageramp_core._internal.warmup import WarmUp
 
-__all__ = ["Balancer", "Running"]
+__all__ = ["Balancer"]
 
 LATENCY_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.05
@@ -40,28 +40,6 @@
 OVERLOAD_QUEUE = 3
 
 
-@dataclass(kw_only=True, slots=True)
-class Running:
-    """A try that an upstream has.
-
-    Attributes
-    ----------
-    request : Submit
-        The request.
-    upstream : Upstream
-        Where it runs.
-    started_at_s : float
-        Time at which it was placed.
-    start : str
-        Name of the upstream's start that it was placed on.
-    """
-
-    request: Submit
-    upstream: Upstream
-    started_at_s: float
-    start: str
-
-
 class Balancer:
     """Decisions on the requests for one service.
 
@@ -178,7 +156,12 @@
         found = self.eligibility.find(request, now_s=now_s)
         self.limit.set_ceiling(found.slots, entries=self.eligibility.entries)
         if found.candidates and len(self.running) < self.limit.value:
-            choice = self._policy.choose(found.candidates, rng=self._rng, now_s=now_s)
+            urgent = request.class_name in self.service.policy.urgent_classes
+            if urgent and not self.eligibility.drop_slow(found, now_s=now_s):
+                return Queued(request=request, position=0)
+            choice = self._policy.choose(
+                found.candidates, urgent=urgent, rng=self._rng, now_s=now_s
+            )
             return self._start(
                 request,
                 choice.candidate.upstream,
@@ -285,7 +268,7 @@
     def _learn_success(
         self, running: Running, load: UpstreamLoad, finished: Finished, *, now_s: float
     ) -> None:
-        load.on_latency(finished.latency_s, now_s=now_s)
+        load.on_latency(_unqueued_s(finished, load.slots), now_s=now_s)
         self.latency_s += (finished.latency_s - self.latency_s) * LATENCY_WEIGHT
         self.outliers.on_success(running.upstream.id)
         self._suspects.clear(running.request.fingerprint, now_s=now_s)
@@ -384,3 +367,14 @@
     def is_suspect(self, name: str, *, now_s: float) -> bool:
         """Tell whether an upstream died under a request."""
         return self._suspects.deaths(name, now_s=now_s) > 0
+
+
+def _unqueued_s(finished: Finished, slots: int) -> float:
+    """Return the latency less what the upstream's own queue made of it.
+
+    Under overload the latencies of all upstreams rise with their queues, and a
+    slow one would no longer stand out.
+    """
+    if finished.report is None:
+        return finished.latency_s
+    return finished.latency_s / max(1.0, finished.report.in_flight / slots)
--- a/packages/core/src/borageramp_core/_internal/budget.py
+++ b/packages/core/src/borageramp_core/_internal/budget.py
@@ -32,6 +32,11 @@
         self.spent += 1
         return True
 
+    def give_back(self) -> None:
+        """Return an extra try that was not made."""
+        self._saved += 1.0
+        self.spent -= 1
+
 
 class TokenBucket:
     """Allow events at a bounded rate.
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from borageramp_core._internal.load import UpstreamLoad
 from borageramp_core._internal.messages import Submit
@@ -11,12 +10,10 @@
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.ownership import Ownership
 from borageramp_core._internal.placement import Candidate
+from borageramp_core._internal.running import Running
 from borageramp_core._internal.suspects import Suspects
 from borageramp_core._internal.warmup import WarmUp
 
-if TYPE_CHECKING:
-    from borageramp_core._internal.balancer import Running
-
 __all__ = ["Eligibility", "Found", "UpstreamState"]
 
 # How long an upstream that shed gets nothing new; doubles while it goes on.
@@ -31,6 +28,8 @@
 SHUFFLE_EVERY = 64
 SLOTS_INTERVAL_S = 0.25
 SLOW_ANSWERS = 5
+# Fewer known latencies don't tell which one is slow.
+MIN_KNOWN_LATENCIES = 3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -109,7 +108,7 @@
         suspects: Suspects,
         outliers: Outliers,
         loads: Mapping[str, UpstreamLoad],
-        running: "Mapping[str, Running]",
+        running: Mapping[str, Running],
         rng: random.Random,
     ) -> None:
         self._ownership = ownership
@@ -123,6 +122,8 @@
         self._finds = 0
         self._slots = 0
         self._slots_at_s = float("-inf")
+        self._typical_s = float("inf")
+        self._typical_at_s = float("-inf")
         self._paused_until_s: dict[str, float] = {}
         self._shed_pause_s: dict[str, float] = {}
         self._leaving_until_s: dict[str, float] = {}
@@ -176,6 +177,30 @@
         found.slots = self._slots_in_use(now_s=now_s)
         return found
 
+    def drop_slow(self, found: Found, *, now_s: float) -> bool:
+        """Drop slow candidates; tell whether the rest is worth taking.
+
+        A request that can't bear a slow upstream rather waits for another, as
+        long as there is one.
+        """
+        limit_s = SLOW_FACTOR * self._typical_latency_s(now_s=now_s)
+        fast = [c for c in found.candidates if c.load.latency_s <= limit_s]
+        if fast:
+            found.candidates = fast
+        return bool(fast) or found.usable <= len(found.candidates)
+
+    def _typical_latency_s(self, *, now_s: float) -> float:
+        """Return the median latency of the upstreams."""
+        if now_s - self._typical_at_s < SLOTS_INTERVAL_S:
+            return self._typical_s
+        self._typical_at_s = now_s
+        latencies = sorted(
+            load.latency_s for load in self._loads.values() if load.answers
+        )
+        enough = len(latencies) >= MIN_KNOWN_LATENCIES
+        self._typical_s = latencies[len(latencies) // 2] if enough else float("inf")
+        return self._typical_s
+
     def _shuffled(self) -> Iterator[Upstream]:
         """Yield all upstreams, from a random place in a random order."""
         self._finds += 1
@@ -296,7 +321,7 @@
         self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s)
         if not self._warmup.is_warm(upstream.id):
             return
-        if not self._is_slow(upstream, latency_s):
+        if not self._is_slow(upstream, latency_s, now_s=now_s):
             self._slow_answers.pop(upstream.id, None)
             return
         count = self._slow_answers.get(upstream.id, 0) + 1
@@ -316,15 +341,10 @@
         if start_id and known and start_id != known:
             self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
 
-    def _is_slow(self, upstream: Upstream, latency_s: float) -> bool:
-        latencies = sorted(
-            load.latency_s for load in self._loads.values() if load.answers
-        )
-        if len(latencies) < 3:
-            return False
-        median_s = latencies[len(latencies) // 2]
+    def _is_slow(self, upstream: Upstream, latency_s: float, *, now_s: float) -> bool:
         average_s = self._loads[upstream.id].latency_s
-        return min(latency_s, average_s) > SLOW_FACTOR * median_s
+        typical_s = self._typical_latency_s(now_s=now_s)
+        return min(latency_s, average_s) > SLOW_FACTOR * typical_s
 
     def states(self, *, now_s: float) -> list[UpstreamState]:
         """Return the state of each upstream for an operator."""
--- a/packages/core/src/borageramp_core/_internal/model.py
+++ b/packages/core/src/borageramp_core/_internal/model.py
@@ -103,6 +103,8 @@
         Upstreams tried for one request.
     retry_ratio, hedge_ratio : float
         Retries and hedges allowed, as a share of first tries.
+    urgent_hedge_ratio : float
+        Hedges of urgent classes, as a share of their first tries.
     hedge_quantile : float
         Quantile of the service's latency after which a hedge starts.
     connect_timeout_s : float
@@ -136,6 +138,7 @@
     max_attempts: int = 3
     retry_ratio: float = 0.2
     hedge_ratio: float = 0.05
+    urgent_hedge_ratio: float = 0.5
     hedge_quantile: float = 0.95
     connect_timeout_s: float = 1.0
     queue_limit: int = 1000
--- a/packages/core/src/borageramp_core/_internal/placement.py
+++ b/packages/core/src/borageramp_core/_internal/placement.py
@@ -54,7 +54,12 @@
     """A way to choose among candidates."""
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
 
@@ -63,7 +68,12 @@
     """Choose at random; a baseline."""
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
         return Choice(candidate=rng.choice(candidates), why="random")
@@ -79,7 +89,12 @@
     """
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
         if len(candidates) == 1:
@@ -109,7 +124,12 @@
         self._sample = sample
 
     def choose(
-        self, candidates: Sequence[Candidate], *, rng: random.Random, now_s: float
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        urgent: bool,
+        rng: random.Random,
+        now_s: float,
     ) -> Choice:
         """Choose one of at least one candidates."""
         if len(candidates) == 1:
@@ -120,7 +140,13 @@
         best_s = self._best_s(candidates)
         costs = [
             (
-                self._cost(c, best_s=best_s, usual_others=usual_others, now_s=now_s),
+                self._cost(
+                    c,
+                    best_s=best_s,
+                    usual_others=usual_others,
+                    urgent=urgent,
+                    now_s=now_s,
+                ),
                 rng.random(),
                 c,
             )
@@ -139,10 +165,14 @@
         *,
         best_s: float,
         usual_others: float,
+        urgent: bool,
         now_s: float,
     ) -> float:
         load = candidate.load
         requests = load.estimate(usual_others=usual_others, now_s=now_s) + 1.0
-        latency_s = load.expected_latency_s(usual_s=best_s, now_s=now_s)
+        latency_s = load.latency_s
+        if not urgent:
+            # Others find out whether an upstream is still slow.
+            latency_s = load.expected_latency_s(usual_s=best_s, now_s=now_s)
         latency_s = max(latency_s, self.EQUAL_LATENCY_FACTOR * best_s)
         return latency_s * max(1.0, requests / load.slots) + 1e-6 * requests
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/running.py
@@ -0,0 +1,30 @@
+"""The tries that upstreams have."""
+
+from dataclasses import dataclass
+
+from borageramp_core._internal.messages import Submit
+from borageramp_core._internal.model import Upstream
+
+__all__ = ["Running"]
+
+
+@dataclass(kw_only=True, slots=True)
+class Running:
+    """A try that an upstream has.
+
+    Attributes
+    ----------
+    request : Submit
+        The request.
+    upstream : Upstream
+        Where it runs.
+    started_at_s : float
+        Time at which it was placed.
+    start : str
+        Name of the upstream's start that it was placed on.
+    """
+
+    request: Submit
+    upstream: Upstream
+    started_at_s: float
+    start: str
--- a/packages/entry/src/borageramp_entry/_internal/border/statuspage.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/statuspage.py
@@ -104,7 +104,7 @@
             "running": len(balancer.running),
             "queued": len(balancer.queue),
             "retries_spent": task.retries.spent,
-            "hedges_spent": task.hedges.spent,
+            "hedges_spent": task.hedges.spent + task.urgent_hedges.spent,
             "upstreams": {
                 s.upstream.name: {
                     "data_centre": s.upstream.data_centre,
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -168,7 +168,7 @@
             first=self._first,
             policy=task.balancer.service.policy,
             retries=task.retries,
-            hedges=task.hedges,
+            hedges=task.hedges_for(request.class_name),
         )
 
     async def to_end(self) -> Delivered:
@@ -278,6 +278,7 @@
             return None
         placed = self._task.place_now(submit)
         if placed is None:
+            self._plan.hedge_not_placed()
             return None
         self._parts.reporter.metrics.extra(service=self._request.service, kind="hedge")
         return self._try(placed)
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -60,6 +60,7 @@
         self.balancer = balancer
         self.retries = RatioBudget(ratio=policy.retry_ratio)
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
+        self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
         self._warmup = warmup
         self._on_cold = on_cold
@@ -81,6 +82,7 @@
         self.balancer.apply(service, snapshot)
         self.retries.ratio = service.policy.retry_ratio
         self.hedges.ratio = service.policy.hedge_ratio
+        self.urgent_hedges.ratio = service.policy.urgent_hedge_ratio
         self._settle(self.balancer.drain(now_s=self._clock()))
 
     @property
@@ -88,6 +90,11 @@
         """Requests that upstreams have, or that wait."""
         return len(self.balancer.running) + len(self._waiting)
 
+    def hedges_for(self, class_name: str) -> RatioBudget:
+        """Return the budget for hedges of a class."""
+        urgent = class_name in self.balancer.service.policy.urgent_classes
+        return self.urgent_hedges if urgent else self.hedges
+
     async def place(self, submit: Submit) -> Settled:
         """Decide on a request; waits while it is queued."""
         decision = self.balancer.submit(submit, now_s=self._clock())
--- a/packages/entry/src/borageramp_entry/_internal/serving/race.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/race.py
@@ -13,6 +13,8 @@
 
 Opening = asyncio.Future
 
+HEDGE_PAUSE_S = 0.02
+
 
 @dataclass(eq=False)
 class RaceLostError(Exception):
@@ -97,12 +99,14 @@
             done, _ = await asyncio.wait(
                 self._open, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
             )
-            timeout_s = None
             if not done:
                 hedge = self._start_hedge(first)
+                # Without room for it now, there may be some soon.
+                timeout_s = HEDGE_PAUSE_S if hedge is None else None
                 if hedge is not None:
                     self._begin(hedge)
                 continue
+            timeout_s = None
             winner = self._take(done)
             if winner is not None:
                 return winner
--- a/packages/settings/src/borageramp_settings/_internal/tree.py
+++ b/packages/settings/src/borageramp_settings/_internal/tree.py
@@ -74,6 +74,9 @@
     hedge_ratio: Share | None = Field(
         default=None, description="Hedges as a share of first tries."
     )
+    urgent_hedge_ratio: Share | None = Field(
+        default=None, description="Hedges of urgent classes, of their first tries."
+    )
     hedge_quantile: Share | None = Field(
         default=None, description="Latency quantile after which a hedge starts."
     )
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -345,3 +345,20 @@
 
 
 TestFleet = Fleet.TestCase
+
+
+def test_urgent_request_rather_waits_than_goes_to_a_slow_upstream() -> None:
+    upstreams = [make_upstream(f"u{i}", slots=1) for i in range(4)]
+    balancer = make_balancer(make_service(*upstreams))
+    for upstream in upstreams:
+        latency_s = 1.0 if upstream.name == "u0" else 0.01
+        balancer.loads[upstream.id].on_latency(latency_s, now_s=0.0)
+    kinds = {}
+    for i in range(4):
+        decision = balancer.submit(make_submit(f"r{i}", class_name="urgent"), now_s=0.0)
+        kinds[f"r{i}"] = type(decision)
+        if isinstance(decision, Placed):
+            assert decision.upstream.name != "u0"
+    assert list(kinds.values()) == [Placed, Placed, Placed, Queued]
+    normal = balancer.submit(make_submit("n"), now_s=0.0)
+    assert isinstance(normal, (Placed, Queued))
--- a/tests/unit/test_load.py
+++ b/tests/unit/test_load.py
@@ -32,12 +32,14 @@
         Candidate(upstream=make_upstream("fast"), load=fast),
     ]
 
-    def chosen(now_s: float) -> set[str]:
+    def chosen(now_s: float, *, urgent: bool = False) -> set[str]:
         rng = random.Random(1)
         choices = (
-            LeastEstimate().choose(candidates, rng=rng, now_s=now_s) for _ in range(20)
+            LeastEstimate().choose(candidates, urgent=urgent, rng=rng, now_s=now_s)
+            for _ in range(20)
         )
         return {c.candidate.upstream.name for c in choices}
 
     assert chosen(0.0) == {"fast"}
     assert "slow" in chosen(100.0)
+    assert chosen(100.0, urgent=True) == {"fast"}
