Tell operators of ejections, and why an upstream warms up again

Cause, found by reading: `borageramp status` listed warm-ups without their upstream and no ejections, though a fleet that repairs itself has to say so. Change: the core returns each repair as a message with its upstream and cause, in place of a counter that the entry compared. The test of an upstream that fails fast asks for it and failed before.

--- a/packages/core/src/borageramp_core/__init__.py
+++ b/packages/core/src/borageramp_core/__init__.py
@@ -53,6 +53,7 @@
     Placement,
     Queued,
     Refused,
+    Repair,
     Result,
     Submit,
 )
@@ -123,6 +124,7 @@
     "RefusedError",
     "Refused",
     "Reject",
+    "Repair",
     "Replay",
     "Result",
     "Retry",
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -18,6 +18,7 @@
     Placement,
     Queued,
     Refused,
+    Repair,
     Result,
     Submit,
 )
@@ -82,6 +83,7 @@
         self.limit = ConcurrencyLimit()
         self.latency_s = 0.0
         self._queued_at_s: dict[str, float] = {}
+        self._repairs: list[Repair] = []
         self.eligibility = Eligibility(
             ownership=ownership,
             warmup=warmup,
@@ -89,6 +91,7 @@
             outliers=self.outliers,
             loads=self.loads,
             running=self.running,
+            repairs=self._repairs,
             rng=rng,
         )
         self.apply(service, snapshot)
@@ -285,12 +288,21 @@
         self, running: Running, finished: Finished, *, now_s: float
     ) -> None:
         upstream = running.upstream
-        self.outliers.on_failure(
+        ejected = self.outliers.on_failure(
             upstream, service_size=len(self.service.upstreams), now_s=now_s
         )
+        if ejected:
+            why = f"the last try ended as {finished.result}"
+            self._repairs.append(Repair(kind="ejection", upstream=upstream.id, why=why))
         if finished.result in (Result.DIED, Result.UNREACHABLE):
             self.eligibility.on_break(upstream, now_s=now_s)
 
+    def take_repairs(self) -> list[Repair]:
+        """Return the repairs since the last call."""
+        repairs = list(self._repairs)
+        self._repairs.clear()
+        return repairs
+
     def on_report(
         self, upstream: Upstream, report: LoadReport, *, now_s: float
     ) -> None:
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from borageramp_core._internal.load import UpstreamLoad
-from borageramp_core._internal.messages import Submit
+from borageramp_core._internal.messages import Repair, Submit
 from borageramp_core._internal.model import Service, Snapshot, Upstream
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.ownership import Ownership
@@ -96,6 +96,8 @@
         Loads by upstream.
     running : mapping of str to Running
         Tries that upstreams have, by request.
+    repairs : list of Repair
+        Gets each repair.
     rng : random.Random
         Source of randomness.
     """
@@ -109,6 +111,7 @@
         outliers: Outliers,
         loads: Mapping[str, UpstreamLoad],
         running: Mapping[str, Running],
+        repairs: list[Repair],
         rng: random.Random,
     ) -> None:
         self._ownership = ownership
@@ -117,6 +120,7 @@
         self._outliers = outliers
         self._loads = loads
         self._running = running
+        self._repairs = repairs
         self._rng = rng
         self._order: list[Upstream] = []
         self._finds = 0
@@ -312,13 +316,18 @@
         """Treat an upstream whose connections break as started anew."""
         if self._warmup.is_warm(upstream.id):
             self._warmup.mark_cold(upstream.id, start_id="", now_s=now_s)
+            self._repaired(upstream, "connections broke")
+
+    def _repaired(self, upstream: Upstream, why: str) -> None:
+        self._repairs.append(Repair(kind="warm-up", upstream=upstream.id, why=why))
 
     def on_success(
         self, upstream: Upstream, *, start_id: str, latency_s: float, now_s: float
     ) -> None:
         """Take in a good answer."""
         self._shed_pause_s.pop(upstream.id, None)
-        self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s)
+        if self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s):
+            self._repaired(upstream, "it started anew")
         if not self._warmup.is_warm(upstream.id):
             return
         if not self._is_slow(upstream, latency_s, now_s=now_s):
@@ -329,6 +338,7 @@
         if count >= SLOW_ANSWERS:
             del self._slow_answers[upstream.id]
             self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
+            self._repaired(upstream, "it became slow")
 
     def start_name(self, upstream: Upstream, *, now_s: float) -> str:
         """Return a name for the present start of an upstream."""
@@ -340,6 +350,7 @@
         known = self._warmup.state(upstream.id, now_s=now_s).start_id
         if start_id and known and start_id != known:
             self._warmup.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
+            self._repaired(upstream, "it started anew")
 
     def _is_slow(self, upstream: Upstream, latency_s: float, *, now_s: float) -> bool:
         average_s = self._loads[upstream.id].latency_s
--- a/packages/core/src/borageramp_core/_internal/messages.py
+++ b/packages/core/src/borageramp_core/_internal/messages.py
@@ -15,6 +15,7 @@
     "Placement",
     "Queued",
     "Refused",
+    "Repair",
     "Result",
     "Submit",
 ]
@@ -155,6 +156,25 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Repair:
+    """Something that was done about a faulty upstream without an operator.
+
+    Attributes
+    ----------
+    kind : str
+        ``warm-up`` or ``ejection``.
+    upstream : str
+        Identifier of the upstream.
+    why : str
+        What gave rise to it.
+    """
+
+    kind: str
+    upstream: str
+    why: str
+
+
 Placement = Placed | PassOn | Queued | Refused
 
 
--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -48,20 +48,13 @@
 
 
 class WarmUp:
-    """The warm-up of every upstream, as one entry sees it.
-
-    Attributes
-    ----------
-    marked_cold : int
-        How often an upstream was marked as cold.
-    """
+    """The warm-up of every upstream, as one entry sees it."""
 
     # An idle gap counts as work only up to this, so that an upstream with
     # one request a minute does not pass for warm.
     MAX_STEP_S = 0.5
 
     def __init__(self) -> None:
-        self.marked_cold = 0
         self._states: dict[str, WarmState] = {}
         # Observed upstreams, the latest noted last.
         self._noted: OrderedDict[str, None] = OrderedDict()
@@ -125,7 +118,6 @@
 
     def mark_cold(self, upstream_id: str, *, start_id: str, now_s: float) -> None:
         """Start the warm-up of an upstream afresh."""
-        self.marked_cold += 1
         state = WarmState(since_s=now_s, start_id=start_id)
         self._states[upstream_id] = state
         self._note(upstream_id, state, now_s=now_s)
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -294,7 +294,6 @@
         )
         return PlacementTask(
             balancer=balancer,
-            warmup=self._fleet.warmup,
             on_cold=self._peers.hurry,
             reporter=self._reporter,
             clock=self._clock,
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -7,6 +7,7 @@
     Balancer,
     Finished,
     LatencyWindow,
+    LoadReport,
     PassOn,
     Placed,
     Placement,
@@ -18,7 +19,6 @@
     Snapshot,
     Submit,
     Upstream,
-    WarmUp,
 )
 from borageramp_entry._internal.reporting import Reporter
 
@@ -37,8 +37,6 @@
     ----------
     balancer : Balancer
         Decisions on the service.
-    warmup : WarmUp
-        Warm-up states, shared by all services.
     on_cold : callable
         Called when an upstream was noticed to be cold.
     reporter : Reporter
@@ -51,7 +49,6 @@
         self,
         *,
         balancer: Balancer,
-        warmup: WarmUp,
         on_cold: Callable[[], None],
         reporter: Reporter,
         clock: Callable[[], float],
@@ -62,7 +59,6 @@
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
         self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
-        self._warmup = warmup
         self._on_cold = on_cold
         self._reporter = reporter
         self._clock = clock
@@ -144,10 +140,21 @@
             self.latencies.add(finished.latency_s)
         name = self.balancer.service.name
         self._reporter.metrics.tried(service=name, result=result)
-        cold_before = self._warmup.marked_cold
         self._settle(self.balancer.finish(finished, now_s=self._clock()))
-        if self._warmup.marked_cold != cold_before:
-            self._reporter.repaired("warm-up", service=name, request=request_id)
+        self._report_repairs()
+
+    def on_probe(self, upstream: Upstream, report: LoadReport) -> None:
+        """Take in the answer to a probe."""
+        self.balancer.on_probe(upstream, report, now_s=self._clock())
+        self._report_repairs()
+
+    def _report_repairs(self) -> None:
+        repairs = self.balancer.take_repairs()
+        for repair in repairs:
+            self._reporter.repaired(
+                repair.kind, upstream=repair.upstream, why=repair.why
+            )
+        if any(repair.kind == "warm-up" for repair in repairs):
             self._on_cold()
 
     def on_death(self, upstream: Upstream) -> tuple[str, ...]:
--- a/packages/entry/src/borageramp_entry/_internal/serving/probing.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/probing.py
@@ -173,4 +173,4 @@
             return
         report = parse_health(body)
         if report is not None:
-            task.balancer.on_probe(upstream, report, now_s=self._clock())
+            task.on_probe(upstream, report)
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -151,6 +151,9 @@
         placed += bad
         finish(balancer, f"r{i}", Result.ERROR if bad else Result.ANSWERED)
     assert placed == 3
+    assert [(r.kind, r.upstream) for r in balancer.take_repairs()] == [
+        ("ejection", "records/u0")
+    ]
     later = [balancer.submit(make_submit(f"l{i}"), now_s=6.0) for i in range(3)]
     assert "u0" in {d.upstream.name for d in later if isinstance(d, Placed)}
 
