Tell peers at once that a stopped entry's keys were taken over

Seen: ./demo in a clean clone failed its graceful restart: the repeat of a referral, half a second after its entry had stopped, was not answered. Cause: other entries heard of the successor with its next heartbeat only, which since heartbeats were halved can be a second away, and until then looked for the key at the old entry: 503 owner_unreachable, may_have_run (true, but needless). Change: the successor sends all peers a heartbeat when it has the whole table.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -76,3 +76,7 @@
     When a referral was answered through entry-1 and its owner entry-1 is frozen
     And the same referral is sent again with a deadline of 5000 ms
     Then it gets 503 owner_unreachable with verdict may_have_run within 1000 ms
+
+  Scenario: Keys of a stopped entry are answered by every other at once
+    When a referral was answered through entry-1 and entry-1 stops
+    Then its repeat is answered through entry-2 and entry-3 at once
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -365,3 +365,23 @@
     fleet.entries[owner].process.freeze()
     # The time after which a silent peer counts as gone.
     time.sleep(3.0)
+
+
+@when("a referral was answered through {entry} and {owner} stops")
+def step(context: Any, entry: str, owner: str) -> None:
+    fleet = context.fleet
+    fleet.wait_ready(owner)
+    fleet.wait_warm()
+    context.key = fleet.caller(owner).new_key()
+    assert _refer(context, entry, 2000).status == 200
+    process = fleet.entries[owner].process
+    process.terminate()
+    assert process.wait(within_s=40) == 0
+
+
+@then("its repeat is answered through {first} and {second} at once")
+def step(context: Any, first: str, second: str) -> None:
+    for entry in (first, second):
+        answer = _refer(context, entry, 2000)
+        assert answer.status == 200, answer
+        assert answer.headers["borageramp-replayed"] == "1"
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -223,6 +223,7 @@
                 PeerService(
                     services=self._services,
                     exchange=self._exchange,
+                    hurry_peers=self._peers.hurry,
                     clock=self._clock,
                 )
             ]
--- a/packages/entry/src/borageramp_entry/_internal/border/peers.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/peers.py
@@ -74,6 +74,8 @@
         The parts of the entry.
     exchange : StatusExchange
         Makes and reads statuses.
+    hurry_peers : callable
+        Sends all peers a heartbeat at once.
     clock : callable
         Returns the present time in seconds.
     """
@@ -83,8 +85,10 @@
         *,
         services: EntryServices,
         exchange: StatusExchange,
+        hurry_peers: Callable[[], None],
         clock: Callable[[], float],
     ) -> None:
+        self._hurry_peers = hurry_peers
         self._services = services
         self._exchange = exchange
         self._clock = clock
@@ -172,6 +176,9 @@
                 incarnation=request.incarnation,
                 keys=len(request.records),
             )
+        if accepted and request.last:
+            # Until peers hear of it, they look for the keys at the old entry.
+            self._hurry_peers()
         await stream.send_message(peer_pb2.HandoverReply(accepted=accepted))
 
     async def Explain(self, stream: Any) -> None:
