Settle lost answers of lease grants, and never lose a cancellation

When the answer to the grant was lost, the change was refused with "nothing was changed". True, but needless.

Change: - The entry chooses the lease's identifier and, after a lost answer, asks whether the lease exists (LeaseTimeToLive of the same published API). - A call without an answer no longer breaks the calls beside it: the old connection is kept until their time has passed. - The list task checks that it is on the list that it read. Before, a place whose write was lost on its way was never written again, and a lapsed lease was noticed only when it was due to be extended. - asyncio.wait_for of Python 3.11 drops a cancellation that comes in the instant of the answer; one test hung on it. asyncio.timeout takes its place throughout the entry, and an answer that nobody wants any more closes its connection.

--- a/packages/bench/src/borageramp_bench/standins/state.py
+++ b/packages/bench/src/borageramp_bench/standins/state.py
@@ -105,12 +105,21 @@
         item = etcd_pb2.KeyValue(key=key, mod_revision=revision)
         events.append(etcd_pb2.Event(type="DELETE", kv=item))
 
-    def grant(self, ttl_s: float) -> int:
-        """Create a lease."""
-        self._next_lease += 1
+    def grant(self, ttl_s: float, lease_id: int = 0) -> int:
+        """Create a lease, under an identifier of the caller's if it has one."""
+        if not lease_id:
+            self._next_lease += 1
+            lease_id = self._next_lease
+        if lease_id in self.leases:
+            raise ValueError("lease already exists")
         until_s = time.monotonic() + ttl_s
-        self.leases[self._next_lease] = _Lease(ttl_s=ttl_s, until_s=until_s)
-        return self._next_lease
+        self.leases[lease_id] = _Lease(ttl_s=ttl_s, until_s=until_s)
+        return lease_id
+
+    def time_to_live_s(self, lease_id: int) -> float:
+        """Return how long a lease has left; -1 if there is none."""
+        lease = self.leases.get(lease_id)
+        return -1.0 if lease is None else max(0.0, lease.until_s - time.monotonic())
 
     def keep_alive(self, lease_id: int) -> float:
         """Extend a lease; 0 if it is gone."""
--- a/packages/bench/src/borageramp_bench/standins/store.py
+++ b/packages/bench/src/borageramp_bench/standins/store.py
@@ -132,11 +132,22 @@
     async def LeaseGrant(self, stream: Any) -> None:
         request = await stream.recv_message()
         await self._standin.before()
-        lease_id = self._standin.state.grant(request.TTL)
+        try:
+            lease_id = self._standin.state.grant(request.TTL, request.ID)
+        except ValueError as error:
+            raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from None
         await self._standin.after_write()
         reply = etcd_pb2.LeaseGrantResponse(ID=lease_id, TTL=request.TTL)
         await stream.send_message(reply)
 
+    async def LeaseTimeToLive(self, stream: Any) -> None:
+        request = await stream.recv_message()
+        await self._standin.before()
+        self._standin.reads += 1
+        ttl_s = self._standin.state.time_to_live_s(request.ID)
+        reply = etcd_pb2.LeaseTimeToLiveResponse(ID=request.ID, TTL=round(ttl_s))
+        await stream.send_message(reply)
+
     async def LeaseRevoke(self, stream: Any) -> None:
         request = await stream.recv_message()
         await self._standin.before()
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -93,7 +93,10 @@
             metrics=Metrics(name=settings.name, data_centre=settings.data_centre),
         )
         self._store = EtcdStore(
-            endpoints=settings.store_endpoints, timeout_s=settings.store_timeout_s
+            endpoints=settings.store_endpoints,
+            timeout_s=settings.store_timeout_s,
+            # Not the seeded source: two entries may not choose the same lease.
+            rng=random.SystemRandom(),
         )
         self._build_control()
         self._build_serving()
--- a/packages/entry/src/borageramp_entry/_internal/border/operators.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/operators.py
@@ -198,7 +198,8 @@
     async def _ask_peer(self, stub: Any, request_id: str) -> list[str]:
         message = peer_pb2.ExplainRequest(request_id=request_id)
         try:
-            reply = await asyncio.wait_for(stub.Explain(message), EXPLAIN_WITHIN_S)
+            async with asyncio.timeout(EXPLAIN_WITHIN_S):
+                reply = await stub.Explain(message)
         except PEER_FAILURES:
             return []
         return list(reply.events)
--- a/packages/entry/src/borageramp_entry/_internal/control/changes.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/changes.py
@@ -240,7 +240,7 @@
             try:
                 self._lease_id = await self._store.grant_lease(2 * OPERATION_TTL_S)
             except OutcomeUnknownError as error:
-                raise StoreUnavailableError(str(error)) from error
+                raise StoreUnavailableError(f"no lease: {error}") from error
             self._lease_until_s = now_s + OPERATION_TTL_S
         return self._lease_id
 
--- a/packages/entry/src/borageramp_entry/_internal/control/peers.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/peers.py
@@ -85,7 +85,8 @@
                     await self.beat()
                 self._wake.clear()
                 try:
-                    await asyncio.wait_for(self._wake.wait(), self._interval_s)
+                    async with asyncio.timeout(self._interval_s):
+                        await self._wake.wait()
                 except TimeoutError:
                     pass
         finally:
@@ -109,7 +110,8 @@
         asked_at_s = self._clock()
         status = self._exchange.status(wants_warm=self._new)
         try:
-            reply = await asyncio.wait_for(self.stub.Heartbeat(status), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                reply = await self.stub.Heartbeat(status)
             member = self._exchange.take(reply)
             await self._catch_up(reply.revision)
         except PEER_FAILURES as error:
@@ -134,9 +136,8 @@
         if revision <= known:
             return
         request = peer_pb2.FetchConfigurationRequest(known_revision=known)
-        reply = await asyncio.wait_for(
-            self.stub.FetchConfiguration(request), self._timeout_s
-        )
+        async with asyncio.timeout(self._timeout_s):
+            reply = await self.stub.FetchConfiguration(request)
         if reply.revision > known and reply.tree:
             self._configuration.offer(
                 revision=reply.revision,
--- a/packages/entry/src/borageramp_entry/_internal/control/registry.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/registry.py
@@ -55,9 +55,11 @@
         self._on_list = on_list
         self._on_lease_taken_again = on_lease_taken_again
         self._lease_id = 0
+        self._listed = False
         self._kept_at_s = float("-inf")
         self._clock = clock
         self._leaving = False
+        self._left = False
 
     @property
     def _key(self) -> str:
@@ -75,15 +77,21 @@
 
     async def _keep(self) -> None:
         now_s = self._clock()
-        if now_s - self._kept_at_s < self._lease_s * KEEP_SHARE:
+        due = now_s - self._kept_at_s >= self._lease_s * KEEP_SHARE
+        if self._listed and not due:
             return
-        if self._lease_id and await self._store.keep_lease(self._lease_id):
-            self._kept_at_s = now_s
+        kept = self._lease_id != 0 and await self._store.keep_lease(self._lease_id)
+        if self._left:
             return
+        if not kept:
+            await self._take_lease()
+        if not kept or not self._listed:
+            await self._write()
+        self._kept_at_s = now_s
+
+    async def _take_lease(self) -> None:
         taken_again = self._lease_id != 0
         self._lease_id = await self._store.grant_lease(self._lease_s)
-        await self._write()
-        self._kept_at_s = now_s
         if taken_again:
             self._on_lease_taken_again()
 
@@ -104,7 +112,10 @@
 
     async def _read(self) -> None:
         listing = await self._store.read(ENTRIES)
-        self._on_list([ListedEntry(**decode(i.value)) for i in listing.items])
+        entries = [ListedEntry(**decode(i.value)) for i in listing.items]
+        # A write whose answer was lost may have had no effect.
+        self._listed = any(e.incarnation == self._own.incarnation for e in entries)
+        self._on_list(entries)
 
     async def mark_leaving(self) -> None:
         """Say on the list that this entry is about to stop."""
@@ -116,6 +127,7 @@
 
     async def leave(self) -> None:
         """Take this entry off the list."""
+        self._left = True
         if not self._lease_id:
             return
         try:
--- a/packages/entry/src/borageramp_entry/_internal/serving/handover.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/handover.py
@@ -76,10 +76,8 @@
     accepted = False
     for request in _requests(claims, clock()):
         try:
-            reply = await asyncio.wait_for(
-                stub.Handover(request),
-                TIMEOUT_S,
-            )
+            async with asyncio.timeout(TIMEOUT_S):
+                reply = await stub.Handover(request)
         except PEER_FAILURES:
             return None
         if not reply.accepted:
--- a/packages/entry/src/borageramp_entry/_internal/serving/keyed.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/keyed.py
@@ -156,7 +156,8 @@
             raise _no_answer_yet()
         wait_s = max(0.0, request.deadline_s - self._clock())
         try:
-            answer = await asyncio.wait_for(asyncio.shield(run.outcome), wait_s)
+            async with asyncio.timeout(wait_s):
+                answer = await asyncio.shield(run.outcome)
         except TimeoutError:
             raise _no_answer_yet() from None
         if answer is None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/keyed_run.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/keyed_run.py
@@ -116,7 +116,8 @@
             If the run was refused.
         """
         try:
-            head = await asyncio.wait_for(self._parts.get(), head_wait_s)
+            async with asyncio.timeout(head_wait_s):
+                head = await self._parts.get()
             if not isinstance(head, AnswerHead):
                 await self.outcome
                 raise RuntimeError("a run ended without head or refusal")
--- a/packages/entry/src/borageramp_entry/_internal/serving/probing.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/probing.py
@@ -163,9 +163,9 @@
         loop = asyncio.get_running_loop()
         try:
             asked = self._agent.request(b"GET", url).asFuture(loop)
-            response = await asyncio.wait_for(asked, TIMEOUT_S)
-            read = readBody(response).asFuture(loop)
-            body = await asyncio.wait_for(read, TIMEOUT_S)
+            async with asyncio.timeout(TIMEOUT_S):
+                response = await asked
+                body = await readBody(response).asFuture(loop)
         except Exception:
             # The health endpoint may mislead; only requests eject.
             return
--- a/packages/entry/src/borageramp_entry/_internal/serving/relay.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/relay.py
@@ -117,9 +117,11 @@
             async with stub.Execute.open() as stream:
                 await stream.send_message(message, end=True)
                 head_wait_s = left_s + HEAD_SLACK_S
-                part = await asyncio.wait_for(stream.recv_message(), head_wait_s)
+                async with asyncio.timeout(head_wait_s):
+                    part = await stream.recv_message()
                 while part is not None and not await reader.take(part):
-                    part = await asyncio.wait_for(stream.recv_message(), BODY_IDLE_S)
+                    async with asyncio.timeout(BODY_IDLE_S):
+                        part = await stream.recv_message()
         except PEER_FAILURES as error:
             if isinstance(error, GRPCError) and reader.done:
                 return reader.delivered()
@@ -131,7 +133,8 @@
         if task is None:
             raise _unreachable(unsent, "no connection to the peer")
         try:
-            await asyncio.wait_for(task.channel.__connect__(), CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await task.channel.__connect__()
         except PEER_FAILURES as error:
             raise _unreachable(unsent, repr(error)) from None
         return task.stub
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -100,7 +100,8 @@
         """Return the next part; empty at the end, raise if cut short."""
         while not self.ready:
             self._wake.clear()
-            await asyncio.wait_for(self._wake.wait(), idle_timeout_s)
+            async with asyncio.timeout(idle_timeout_s):
+                await self._wake.wait()
         if self._chunks:
             chunk = self._chunks.popleft()
             self._held_bytes -= len(chunk)
@@ -282,13 +283,17 @@
             headers,
             _producer(request.body),
         )
+        answering = _as_future(deferred)
         try:
-            response = await asyncio.wait_for(_as_future(deferred), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                response = await answering
         except TimeoutError:
+            _drop(answering)
             raise TryFailedError(Result.TIMED_OUT) from None
         except (ConnectError, ConnectingCancelledError, RequestNotSent):
             raise TryFailedError(Result.UNREACHABLE) from None
         except asyncio.CancelledError:
+            _drop(answering)
             raise
         except Exception as error:
             raise TryFailedError(Result.DIED) from error
@@ -315,6 +320,15 @@
     return deferred.asFuture(asyncio.get_running_loop())
 
 
+def _drop(answering: "asyncio.Future[Any]") -> None:
+    """Close the connection of an answer that came too late to be wanted."""
+    if answering.cancelled() or not answering.done() or answering.exception():
+        return
+    body = _Body()
+    answering.result().deliverBody(body)
+    body.abort()
+
+
 def _netloc(upstream: Upstream) -> str:
     host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
     return f"{host}:{upstream.port}"
--- a/packages/entry/src/borageramp_entry/_internal/store/etcd.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/etcd.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
@@ -24,6 +25,8 @@
 __all__ = ["EtcdStore"]
 
 T = TypeVar("T")
+# Identifiers of leases are positive and 63 bits long.
+MAX_LEASE_ID = 2**63
 _FAILURES = (
     GRPCError,
     ProtocolError,
@@ -47,13 +50,19 @@
         Addresses as ``host:port``; the next is tried when one fails.
     timeout_s : float
         Time for an answer.
+    rng : random.Random
+        Source of the identifiers of leases.
     """
 
-    def __init__(self, *, endpoints: tuple[str, ...], timeout_s: float) -> None:
+    def __init__(
+        self, *, endpoints: tuple[str, ...], timeout_s: float, rng: random.Random
+    ) -> None:
         self._endpoints = endpoints
+        self._rng = rng
         self._timeout_s = timeout_s
         self._index = 0
         self._channel: Channel | None = None
+        self._retired: set[Channel] = set()
         self.calls = 0
 
     def _connect(self) -> Channel:
@@ -63,16 +72,29 @@
         return self._channel
 
     def _fail_over(self, channel: Channel) -> None:
+        """Use another connection from now on.
+
+        Other calls that wait on this one may still get their answers.
+        """
         if self._channel is not channel:
             return
-        self.close()
+        self._channel = None
         self._index = (self._index + 1) % len(self._endpoints)
+        self._retired.add(channel)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._timeout_s, self._close_retired, channel)
+
+    def _close_retired(self, channel: Channel) -> None:
+        self._retired.discard(channel)
+        channel.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connections."""
         if self._channel is not None:
             self._channel.close()
             self._channel = None
+        for channel in list(self._retired):
+            self._close_retired(channel)
 
     async def _write(self, ask: Callable[[Channel], Awaitable[T]]) -> T:
         """Send a write once; its answer may be lost after it took effect."""
@@ -83,10 +105,7 @@
             raise OutcomeUnknownError(f"no answer: {error!r}") from error
 
     async def _read(self, ask: Callable[[Channel], Awaitable[T]]) -> T:
-        """Send a read, again if its connection was lost under it.
-
-        A call that gets no answer closes the connection for all others on it.
-        """
+        """Send a read, again if its connection was lost under it."""
         for _ in self._endpoints:
             try:
                 return await self._answer(await self._connected(), ask)
@@ -103,7 +122,8 @@
         self.calls += 1
         channel = self._connect()
         try:
-            await asyncio.wait_for(channel.__connect__(), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                await channel.__connect__()
         except _FAILURES as error:
             self._fail_over(channel)
             raise StoreUnavailableError(f"no connection: {error!r}") from error
@@ -113,7 +133,8 @@
         self, channel: Channel, ask: Callable[[Channel], Awaitable[T]]
     ) -> T:
         try:
-            return await asyncio.wait_for(ask(channel), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                return await ask(channel)
         except _FAILURES:
             self._fail_over(channel)
             raise
@@ -174,10 +195,26 @@
         raise StoreUnavailableError("the store ended the watch")
 
     async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its identifier."""
-        request = etcd_pb2.LeaseGrantRequest(TTL=max(1, round(ttl_s)))
-        reply = await self._write(lambda c: etcd_grpc.LeaseStub(c).LeaseGrant(request))
-        return int(reply.ID)
+        """Create a lease and return its identifier.
+
+        The identifier is chosen here, so that a lost answer can be settled by
+        asking whether the lease exists.
+        """
+        lease_id = self._rng.randrange(1, MAX_LEASE_ID)
+        request = etcd_pb2.LeaseGrantRequest(TTL=max(1, round(ttl_s)), ID=lease_id)
+        try:
+            await self._write(lambda c: etcd_grpc.LeaseStub(c).LeaseGrant(request))
+        except OutcomeUnknownError:
+            if not await self._lease_exists(lease_id):
+                raise
+        return lease_id
+
+    async def _lease_exists(self, lease_id: int) -> bool:
+        request = etcd_pb2.LeaseTimeToLiveRequest(ID=lease_id)
+        reply = await self._read(
+            lambda c: etcd_grpc.LeaseStub(c).LeaseTimeToLive(request)
+        )
+        return int(reply.TTL) > 0
 
     async def keep_lease(self, lease_id: int) -> bool:
         """Extend a lease; tell whether it still existed."""
--- a/packages/wire/src/borageramp_wire/_generated/etcd_grpc.py
+++ b/packages/wire/src/borageramp_wire/_generated/etcd_grpc.py
@@ -98,6 +98,10 @@
     async def LeaseKeepAlive(self, stream: 'grpclib.server.Stream[etcd_pb2.LeaseKeepAliveRequest, etcd_pb2.LeaseKeepAliveResponse]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def LeaseTimeToLive(self, stream: 'grpclib.server.Stream[etcd_pb2.LeaseTimeToLiveRequest, etcd_pb2.LeaseTimeToLiveResponse]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/etcdserverpb.Lease/LeaseGrant': grpclib.const.Handler(
@@ -118,6 +122,12 @@
                 etcd_pb2.LeaseKeepAliveRequest,
                 etcd_pb2.LeaseKeepAliveResponse,
             ),
+            '/etcdserverpb.Lease/LeaseTimeToLive': grpclib.const.Handler(
+                self.LeaseTimeToLive,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                etcd_pb2.LeaseTimeToLiveRequest,
+                etcd_pb2.LeaseTimeToLiveResponse,
+            ),
         }
 
 
@@ -142,3 +152,9 @@
             etcd_pb2.LeaseKeepAliveRequest,
             etcd_pb2.LeaseKeepAliveResponse,
         )
+        self.LeaseTimeToLive = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/etcdserverpb.Lease/LeaseTimeToLive',
+            etcd_pb2.LeaseTimeToLiveRequest,
+            etcd_pb2.LeaseTimeToLiveResponse,
+        )
--- /dev/null
+++ b/tests/contract/test_registry.py
@@ -0,0 +1,71 @@
+"""An entry keeps its place on the list, whatever the store does."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from borageramp_bench.processes import free_port
+from borageramp_bench.standins.store import StoreStandin, make_server
+from borageramp_core import ListedEntry, OutcomeUnknownError
+from borageramp_entry._internal.control.registry import RegistryTask
+from borageramp_entry._internal.store import EtcdStore
+from tests.lib.builders import make_entry
+
+TIMEOUT_S = 0.2
+INTERVAL_S = 0.05
+LEASE_S = 60.0
+
+
+class ForgetfulStore(EtcdStore):
+    """Loses the first commits on their way, so that they have no effect."""
+
+    lost_commits = 0
+
+    async def commit(self, commits: list[Any]) -> list[Any]:
+        if self.lost_commits > 0:
+            self.lost_commits -= 1
+            raise OutcomeUnknownError("lost on its way")
+        return await super().commit(commits)
+
+
+async def listed_after(standin: StoreStandin, store: ForgetfulStore) -> set[str]:
+    seen: list[ListedEntry] = []
+    registry = RegistryTask(
+        store=store,
+        own=make_entry("e1"),
+        lease_s=LEASE_S,
+        interval_s=INTERVAL_S,
+        on_list=lambda entries: seen.__setitem__(slice(None), list(entries)),
+        on_lease_taken_again=lambda: None,
+        clock=asyncio.get_running_loop().time,
+    )
+    running = asyncio.ensure_future(registry.run())
+    await asyncio.sleep(10 * INTERVAL_S)
+    standin.expire("/")
+    await asyncio.sleep(10 * INTERVAL_S)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return {e.name for e in seen}
+
+
+@pytest.mark.parametrize("lost", [0, 1, 3])
+def test_entry_is_listed_again_after_lost_writes_and_a_lapsed_lease(lost: int) -> None:
+    async def run() -> None:
+        standin, port = StoreStandin(), free_port()
+        server = make_server(standin)
+        await server.start("127.0.0.1", port)
+        store = ForgetfulStore(
+            endpoints=(f"127.0.0.1:{port}",),
+            timeout_s=TIMEOUT_S,
+            rng=random.Random(1),
+        )
+        store.lost_commits = lost
+        try:
+            assert await listed_after(standin, store) == {"e1"}
+        finally:
+            store.close()
+            server.close()
+
+    asyncio.run(run())
--- a/tests/contract/test_store.py
+++ b/tests/contract/test_store.py
@@ -1,6 +1,7 @@
 """The store adapter keeps the contract of the ``Store`` protocol."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -28,7 +29,9 @@
         standin, port = StoreStandin(), free_port()
         server = make_server(standin)
         await server.start("127.0.0.1", port)
-        store = EtcdStore(endpoints=(f"127.0.0.1:{port}",), timeout_s=TIMEOUT_S)
+        store = EtcdStore(
+            endpoints=(f"127.0.0.1:{port}",), timeout_s=TIMEOUT_S, rng=random.Random(1)
+        )
         try:
             await body(store, standin)
         finally:
@@ -92,7 +95,11 @@
 
 def test_write_without_connection_had_no_effect() -> None:
     async def body() -> None:
-        store = EtcdStore(endpoints=(f"127.0.0.1:{free_port()}",), timeout_s=TIMEOUT_S)
+        store = EtcdStore(
+            endpoints=(f"127.0.0.1:{free_port()}",),
+            timeout_s=TIMEOUT_S,
+            rng=random.Random(1),
+        )
         with pytest.raises(StoreUnavailableError):
             await store.commit([put("/k", "one")])
 
@@ -102,7 +109,11 @@
 def test_next_endpoint_is_tried() -> None:
     async def body(store: EtcdStore, standin: StoreStandin) -> None:
         dead = f"127.0.0.1:{free_port()}"
-        both = EtcdStore(endpoints=(dead, store._endpoints[0]), timeout_s=TIMEOUT_S)
+        both = EtcdStore(
+            endpoints=(dead, store._endpoints[0]),
+            timeout_s=TIMEOUT_S,
+            rng=random.Random(1),
+        )
         assert (await both.read("/")).items == ()
         both.close()
 
@@ -123,6 +134,34 @@
     with_store(body)
 
 
+def test_write_survives_the_lost_answer_of_another() -> None:
+    async def body(store: EtcdStore, standin: StoreStandin) -> None:
+        standin.fault(lose_answers=1)
+        losing = asyncio.ensure_future(store.commit([put("/k", "one")]))
+        await asyncio.sleep(TIMEOUT_S / 2)
+        standin.slow_s = 0.75 * TIMEOUT_S
+        (outcome,) = await store.commit([put("/l", "two")])
+        assert outcome.succeeded
+        with pytest.raises(OutcomeUnknownError):
+            await losing
+
+    with_store(body)
+
+
+def test_cancellation_in_the_instant_of_the_answer_is_not_lost() -> None:
+    async def body(store: EtcdStore, standin: StoreStandin) -> None:
+        channel = await store._connected()
+        answer: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        asking = asyncio.ensure_future(store._answer(channel, lambda _: answer))
+        await asyncio.sleep(0)
+        answer.set_result("read")
+        asking.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+
+    with_store(body)
+
+
 def test_watch_yields_each_revision_once_from_where_it_starts() -> None:
     async def body(store: EtcdStore, standin: StoreStandin) -> None:
         await store.commit([put("/w/0", "old")])
--- a/tests/unit/test_layout.py
+++ b/tests/unit/test_layout.py
@@ -91,3 +91,10 @@
     for path in modules():
         if path.name not in ("__init__.py", "__main__.py"):
             assert "__all__" in path.read_text() or "def main" in path.read_text(), path
+
+
+def test_timeouts_do_not_lose_cancellations() -> None:
+    # In Python 3.11 ``asyncio.wait_for`` drops a cancellation that comes in
+    # the instant of the answer; ``asyncio.timeout`` never does.
+    users = [p.name for p in modules("entry") if "wait_for(" in p.read_text()]
+    assert users == []
