Take an upstream whose connection broke as cold only until its next answer

Cause: a broken connection counted as a restart. An answer cut short (one request whose handler fails midway) made a warm upstream cold for a whole warm-up, and a caller that sends such a request again and again could cool all upstreams of a service one after another.

Ruled out: not cooling on a break at all (a killed upstream would get its full share from every entry until the first answer of its new start), and trusting probes (health endpoints lag).

Change: a break leaves the upstream in doubt. Only its owner sends to it, at the cold allowance, as before; an answer to a request sent after the break, from the same start, ends the doubt and peers hear at once. Another start, or none named, means a whole warm-up. A crash suspect placed during a doubt counts against a start of its own, so that two deaths still condemn it.

Neither the repair nor the doubt existed before.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -21,6 +21,11 @@
     When a caller asks records for "/cut?parts=6&interval_ms=10"
     Then the answer is not whole
 
+  Scenario: An answer cut short leaves its upstream warm
+    When a caller asks records for "/cut?parts=6&interval_ms=10"
+    And callers go on reading for 3 seconds
+    Then an entry reports the repair "warm again" because "it had not restarted"
+
   Scenario: Early parts pass on at once
     When a caller asks records for "/stream?parts=10&interval_ms=50"
     Then the first part came before a quarter of the time
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -279,6 +279,7 @@
         self.eligibility.on_success(
             running.upstream,
             start_id=start_id,
+            sent_at_s=running.started_at_s,
             latency_s=finished.latency_s,
             now_s=now_s,
         )
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -313,21 +313,32 @@
             self._leaving_until_s.pop(upstream.id, None)
 
     def on_break(self, upstream: Upstream, *, now_s: float) -> None:
-        """Treat an upstream whose connections break as started anew."""
+        """Doubt that an upstream whose connections break is still warm."""
         if self._warmup.is_warm(upstream.id):
-            self._warmup.mark_cold(upstream.id, start_id="", now_s=now_s)
+            self._warmup.doubt(upstream.id, now_s=now_s)
             self._repaired(upstream, "connections broke")
 
-    def _repaired(self, upstream: Upstream, why: str) -> None:
-        self._repairs.append(Repair(kind="warm-up", upstream=upstream.id, why=why))
+    def _repaired(self, upstream: Upstream, why: str, kind: str = "warm-up") -> None:
+        self._repairs.append(Repair(kind=kind, upstream=upstream.id, why=why))
 
     def on_success(
-        self, upstream: Upstream, *, start_id: str, latency_s: float, now_s: float
+        self,
+        upstream: Upstream,
+        *,
+        start_id: str,
+        sent_at_s: float,
+        latency_s: float,
+        now_s: float,
     ) -> None:
         """Take in a good answer."""
         self._shed_pause_s.pop(upstream.id, None)
-        if self._warmup.on_answer(upstream, start_id=start_id, now_s=now_s):
+        doubted = self._warmup.is_doubted(upstream.id)
+        if self._warmup.on_answer(
+            upstream, start_id=start_id, sent_at_s=sent_at_s, now_s=now_s
+        ):
             self._repaired(upstream, "it started anew")
+        elif doubted and self._warmup.is_warm(upstream.id):
+            self._repaired(upstream, "it had not restarted", kind="warm again")
         if not self._warmup.is_warm(upstream.id):
             return
         if not self._is_slow(upstream, latency_s, now_s=now_s):
@@ -343,7 +354,8 @@
     def start_name(self, upstream: Upstream, *, now_s: float) -> str:
         """Return a name for the present start of an upstream."""
         state = self._warmup.state(upstream.id, now_s=now_s)
-        return f"{upstream.id}@{state.start_id or f'{state.since_s:.3f}'}"
+        start_id = "" if state.doubted else state.start_id
+        return f"{upstream.id}@{start_id or f'{state.since_s:.3f}'}"
 
     def on_start_id(self, upstream: Upstream, start_id: str, *, now_s: float) -> None:
         """Take in which start an upstream says it is."""
@@ -380,6 +392,9 @@
             return "ejected", f"{failures} failures in a row"
         if self._warmup.is_warm(upstream.id) or upstream.warmup_s <= 0:
             return "warm", ""
-        worked_s = self._warmup.state(upstream.id, now_s=now_s).worked_s
+        state = self._warmup.state(upstream.id, now_s=now_s)
         owner = self._ownership.owner(upstream.id, now_s=now_s)
+        if state.doubted:
+            return "cold", f"connections broke; {owner} finds out"
+        worked_s = state.worked_s
         return "cold", f"{worked_s:.1f} s of {upstream.warmup_s:g} s, by {owner}"
--- a/packages/core/src/borageramp_core/_internal/messages.py
+++ b/packages/core/src/borageramp_core/_internal/messages.py
@@ -163,7 +163,7 @@
     Attributes
     ----------
     kind : str
-        ``warm-up`` or ``ejection``.
+        ``warm-up``, ``warm again`` or ``ejection``.
     upstream : str
         Identifier of the upstream.
     why : str
--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -36,6 +36,9 @@
         Start of the upstream that the state is about.
     noted_at_s : float
         Time at which this entry took note of the last change.
+    doubted : bool
+        Whether it is taken to be cold only until it shows that it still is
+        the start that was warm.
     """
 
     since_s: float
@@ -45,6 +48,7 @@
     last_answer_s: float | None = None
     start_id: str = ""
     noted_at_s: float = float("-inf")
+    doubted: bool = False
 
 
 class WarmUp:
@@ -72,6 +76,11 @@
         state = self._states.get(upstream_id)
         return state is not None and state.warm
 
+    def is_doubted(self, upstream_id: str) -> bool:
+        """Tell whether an upstream is only taken to be cold."""
+        state = self._states.get(upstream_id)
+        return state is not None and state.doubted
+
     def allowance(self, upstream: Upstream, *, now_s: float) -> int:
         """Return how many requests at once an upstream bears, fleet-wide."""
         state = self.state(upstream.id, now_s=now_s)
@@ -81,9 +90,20 @@
         grown = (upstream.slots - upstream.cold_concurrency) * share
         return max(1, min(upstream.slots, upstream.cold_concurrency + int(grown)))
 
-    def on_answer(self, upstream: Upstream, *, start_id: str, now_s: float) -> bool:
+    def on_answer(
+        self, upstream: Upstream, *, start_id: str, sent_at_s: float, now_s: float
+    ) -> bool:
         """Count a good answer.
 
+        Parameters
+        ----------
+        upstream : Upstream
+            Who answered.
+        start_id : str
+            Start that it says it is; empty if it doesn't say.
+        sent_at_s, now_s : float
+            When the request was sent, and the present time.
+
         Returns
         -------
         bool
@@ -94,6 +114,9 @@
             self.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
             return True
         state.start_id = start_id or state.start_id
+        if state.doubted and start_id and sent_at_s > state.since_s:
+            state.warm, state.doubted, state.since_s = True, False, now_s
+            self._note(upstream.id, state, now_s=now_s)
         if not state.warm and self._count_work(state, upstream, now_s=now_s):
             self._note(upstream.id, state, now_s=now_s)
         return False
@@ -122,8 +145,25 @@
         self._states[upstream_id] = state
         self._note(upstream_id, state, now_s=now_s)
 
+    def doubt(self, upstream_id: str, *, now_s: float) -> None:
+        """Take a warm upstream to be cold until it shows that it is not.
+
+        A broken connection tells neither that an upstream started anew nor
+        that it didn't. An answer to a request sent later tells, if upstreams
+        name their starts.
+        """
+        start_id = self.state(upstream_id, now_s=now_s).start_id
+        self.mark_cold(upstream_id, start_id=start_id, now_s=now_s)
+        self._states[upstream_id].doubted = start_id != ""
+
     def learn_cold(
-        self, upstream_id: str, *, start_id: str, age_s: float, now_s: float
+        self,
+        upstream_id: str,
+        *,
+        start_id: str,
+        age_s: float,
+        now_s: float,
+        doubted: bool = False,
     ) -> bool:
         """Take over a peer's observation that an upstream went cold.
 
@@ -135,10 +175,12 @@
         state = self.state(upstream_id, now_s=now_s)
         since_s = now_s - age_s
         known_start = start_id and start_id == state.start_id and not state.warm
-        if known_start or since_s <= state.since_s:
+        older_start = doubted and state.start_id not in ("", start_id)
+        if known_start or older_start or since_s <= state.since_s:
             return False
         self.mark_cold(upstream_id, start_id=start_id, now_s=since_s)
         self._states[upstream_id].noted_at_s = now_s
+        self._states[upstream_id].doubted = doubted
         return True
 
     def learn_warm(
@@ -157,6 +199,7 @@
         if state.warm or other_start or (state.observed and since_s <= state.since_s):
             return False
         state.warm = True
+        state.doubted = False
         state.since_s = since_s
         state.start_id = start_id
         self._note(upstream_id, state, now_s=now_s)
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -298,7 +298,7 @@
         )
         return PlacementTask(
             balancer=balancer,
-            on_cold=self._peers.hurry,
+            on_warmth=self._peers.hurry,
             reporter=self._reporter,
             clock=self._clock,
         )
--- a/packages/entry/src/borageramp_entry/_internal/control/status.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/status.py
@@ -143,6 +143,7 @@
                 upstream=name,
                 age_ms=int(max(0.0, now_s - state.since_s) * MS_PER_S),
                 start_id=state.start_id,
+                doubted=state.doubted,
             )
             (warm if state.warm else cold).append(mark)
         return cold, warm
@@ -209,6 +210,7 @@
                 start_id=mark.start_id,
                 age_s=mark.age_ms / MS_PER_S,
                 now_s=now_s,
+                doubted=mark.doubted,
             )
             if news:
                 self._reporter.repaired(
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -26,6 +26,8 @@
 
 # Waiting requests are looked at again this often, besides after each answer.
 TICK_S = 0.005
+# Repairs after which peers get a heartbeat at once.
+PEERS_HEAR_OF = ("warm-up", "warm again")
 
 Settled = Placed | PassOn | Refused
 
@@ -37,8 +39,8 @@
     ----------
     balancer : Balancer
         Decisions on the service.
-    on_cold : callable
-        Called when an upstream was noticed to be cold.
+    on_warmth : callable
+        Called when an upstream was noticed to be cold, or warm after all.
     reporter : Reporter
         Is told each decision.
     clock : callable
@@ -49,7 +51,7 @@
         self,
         *,
         balancer: Balancer,
-        on_cold: Callable[[], None],
+        on_warmth: Callable[[], None],
         reporter: Reporter,
         clock: Callable[[], float],
     ) -> None:
@@ -59,7 +61,7 @@
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
         self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
-        self._on_cold = on_cold
+        self._on_warmth = on_warmth
         self._reporter = reporter
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Settled]] = {}
@@ -154,8 +156,8 @@
             self._reporter.repaired(
                 repair.kind, upstream=repair.upstream, why=repair.why
             )
-        if any(repair.kind == "warm-up" for repair in repairs):
-            self._on_cold()
+        if any(repair.kind in PEERS_HEAR_OF for repair in repairs):
+            self._on_warmth()
 
     def on_death(self, upstream: Upstream) -> tuple[str, ...]:
         """Record that an upstream died with what it was running."""
--- /dev/null
+++ b/tests/unit/test_warmup.py
@@ -0,0 +1,105 @@
+"""What a broken connection says of an upstream."""
+
+from borageramp_core import Balancer, Finished, Placed, Result, WarmUp
+from tests.lib.builders import (
+    make_balancer,
+    make_report,
+    make_service,
+    make_submit,
+    make_upstream,
+)
+
+UPSTREAM = "records/u1"
+WARMUP_S = 5.0
+
+
+def make_warm(start_id: str = "first") -> tuple[Balancer, WarmUp]:
+    """Return the balancer of an upstream that is warm."""
+    warmup = WarmUp()
+    warmup.learn_warm(UPSTREAM, start_id=start_id, age_s=0.0, now_s=0.0)
+    service = make_service(make_upstream(warmup_s=WARMUP_S))
+    return make_balancer(service, warmup=warmup), warmup
+
+
+def run_one(
+    balancer: Balancer,
+    result: Result,
+    *,
+    start_id: str = "",
+    sent_at_s: float,
+    ended_at_s: float,
+) -> None:
+    request_id = f"{result} {sent_at_s}"
+    placed = balancer.submit(make_submit(request_id), now_s=sent_at_s)
+    assert isinstance(placed, Placed)
+    report = make_report(start_id=start_id) if start_id else None
+    finished = Finished(
+        request_id=request_id, result=result, latency_s=0.01, report=report
+    )
+    balancer.finish(finished, now_s=ended_at_s)
+
+
+def test_cut_answer_leaves_an_upstream_cold_only_until_its_next_answer() -> None:
+    balancer, warmup = make_warm()
+    run_one(balancer, Result.DIED, sent_at_s=1.0, ended_at_s=1.1)
+    assert not warmup.is_warm(UPSTREAM)
+    run_one(balancer, Result.ANSWERED, start_id="first", sent_at_s=1.2, ended_at_s=1.3)
+    assert warmup.is_warm(UPSTREAM)
+    assert [r.kind for r in balancer.take_repairs()] == ["warm-up", "warm again"]
+
+
+def test_answer_of_a_new_start_keeps_it_cold() -> None:
+    balancer, warmup = make_warm()
+    run_one(balancer, Result.DIED, sent_at_s=1.0, ended_at_s=1.1)
+    for number in range(3):
+        at_s = 1.2 + 0.1 * number
+        run_one(
+            balancer,
+            Result.ANSWERED,
+            start_id="second",
+            sent_at_s=at_s,
+            ended_at_s=at_s + 0.05,
+        )
+    assert not warmup.is_warm(UPSTREAM)
+
+
+def test_answer_from_before_the_break_proves_nothing() -> None:
+    balancer, warmup = make_warm()
+    early = balancer.submit(make_submit("early"), now_s=0.9)
+    assert isinstance(early, Placed)
+    run_one(balancer, Result.DIED, sent_at_s=1.0, ended_at_s=1.1)
+    finished = Finished(
+        request_id="early",
+        result=Result.ANSWERED,
+        latency_s=0.2,
+        report=make_report(start_id="first"),
+    )
+    balancer.finish(finished, now_s=1.11)
+    assert not warmup.is_warm(UPSTREAM)
+
+
+def test_upstream_that_names_no_start_warms_up_in_full() -> None:
+    balancer, warmup = make_warm(start_id="")
+    run_one(balancer, Result.DIED, sent_at_s=1.0, ended_at_s=1.1)
+    run_one(balancer, Result.ANSWERED, sent_at_s=1.2, ended_at_s=1.3)
+    assert not warmup.is_warm(UPSTREAM)
+
+
+def test_peers_hear_of_the_doubt_and_of_its_end() -> None:
+    peer = WarmUp()
+    peer.learn_warm(UPSTREAM, start_id="first", age_s=0.0, now_s=0.0)
+    assert peer.learn_cold(
+        UPSTREAM, start_id="first", age_s=0.0, now_s=1.0, doubted=True
+    )
+    assert peer.is_doubted(UPSTREAM)
+    assert peer.learn_warm(UPSTREAM, start_id="first", age_s=0.0, now_s=2.0)
+    assert peer.is_warm(UPSTREAM) and not peer.is_doubted(UPSTREAM)
+
+
+def test_doubt_of_an_older_start_is_no_news() -> None:
+    peer = WarmUp()
+    peer.learn_warm(UPSTREAM, start_id="second", age_s=0.0, now_s=0.0)
+    assert not peer.learn_cold(
+        UPSTREAM, start_id="first", age_s=0.0, now_s=1.0, doubted=True
+    )
+    assert peer.is_warm(UPSTREAM)
