Let urgent requests go past the limit, and let shed ones wait

A trace of 1,788 urgent requests at referrals: of the 67 over 130 ms, 20 had waited up to 250 ms in their entry, whose limit of some 3 requests was all held by requests on the stragglers; 25 began on a straggler; 24 met a queue at their upstream.

Change: urgent requests may go past an entry's limit by half, at least by one. A shed request that is urgent, or may not be repeated once it ran, is tried again until its deadline: shedding costs an upstream little, and each that sheds has a growing pause.

--- a/packages/core/src/borageramp_core/_internal/attempts.py
+++ b/packages/core/src/borageramp_core/_internal/attempts.py
@@ -75,6 +75,9 @@
         self._retries = retries
         self._hedges = hedges
         self._tries = 1
+        self._counted_tries = 1
+        urgent = first.class_name in policy.urgent_classes
+        self._patient = urgent or not policy.idempotent
         self._excluded: frozenset[str] = frozenset()
         retries.earn()
         hedges.earn()
@@ -99,6 +102,8 @@
             What to do.
         """
         self._raise_verdict(result.verdict)
+        if self._waits_after(result, now_s=now_s):
+            return Retry(submit=self._next(counted=False))
         self._excluded |= {upstream_id}
         if self.may_retry(result, now_s=now_s) and self._retries.spend():
             return Retry(submit=self._next())
@@ -112,11 +117,20 @@
         """Take in that a try failed while another one goes on."""
         self._raise_verdict(result.verdict)
 
+    def _waits_after(self, result: Result, *, now_s: float) -> bool:
+        """Tell whether a request that was shed waits for room.
+
+        Work that can't be repeated, and urgent work, would rather wait than
+        be refused. It costs upstreams little, as each that shed has a pause.
+        """
+        in_time = now_s < self._last.deadline_s
+        return result is Result.SHED and self._patient and in_time
+
     def may_retry(self, result: Result, *, now_s: float) -> bool:
         """Tell whether a failed try may be followed by another."""
         if result in (Result.TIMED_OUT, Result.CANCELLED):
             return False
-        if self._tries >= self._policy.max_attempts:
+        if self._counted_tries >= self._policy.max_attempts:
             return False
         if now_s >= self._last.deadline_s:
             return False
@@ -124,7 +138,9 @@
 
     def hedge(self, *, upstream_id: str) -> Submit | None:
         """Return a second try beside a slow one, if that is allowed."""
-        if not self._policy.idempotent or self._tries >= self._policy.max_attempts:
+        if not self._policy.idempotent:
+            return None
+        if self._counted_tries >= self._policy.max_attempts:
             return None
         if not self._hedges.spend():
             return None
@@ -134,10 +150,11 @@
     def hedge_not_placed(self) -> None:
         """Take in that no upstream had room for a hedge; it may come later."""
         self._hedges.give_back()
-        self._tries -= 1
+        self._counted_tries -= 1
 
-    def _next(self) -> Submit:
+    def _next(self, *, counted: bool = True) -> Submit:
         self._tries += 1
+        self._counted_tries += counted
         base, _, _ = self._last.request_id.partition("#")
         self._last = Submit(
             request_id=f"{base}#{self._tries}",
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -158,8 +158,8 @@
     ) -> Placed | PassOn | Queued | Refused:
         found = self.eligibility.find(request, now_s=now_s)
         self.limit.set_ceiling(found.slots, entries=self.eligibility.entries)
-        if found.candidates and len(self.running) < self.limit.value:
-            urgent = request.class_name in self.service.policy.urgent_classes
+        urgent = request.class_name in self.service.policy.urgent_classes
+        if found.candidates and len(self.running) < self.limit.allowed(urgent=urgent):
             if urgent and not self.eligibility.drop_slow(found, now_s=now_s):
                 return Queued(request=request, position=0)
             choice = self._policy.choose(
--- a/packages/core/src/borageramp_core/_internal/limits.py
+++ b/packages/core/src/borageramp_core/_internal/limits.py
@@ -3,6 +3,8 @@
 __all__ = ["ConcurrencyLimit"]
 
 START_SHARES = 3.0
+# Slow upstreams can hold all that the limit allows; urgent requests go past.
+URGENT_EXTRA = 0.5
 
 
 class ConcurrencyLimit:
@@ -38,6 +40,12 @@
         limit = self._ceiling if self._limit is None else self._limit
         return int(min(limit, self._ceiling))
 
+    def allowed(self, *, urgent: bool) -> int:
+        """Return the requests allowed at once; urgent ones may go past the limit."""
+        if not urgent:
+            return self.value
+        return self.value + max(1, int(self.value * URGENT_EXTRA))
+
     def set_ceiling(self, slots: int, *, entries: int) -> None:
         """Set the highest limit.
 
