Check histories over eight entries, with a minority cut off together

Cause: the campaign ran over three entries, where a cut leaves one alone on its side. Rules that count votes could be wrong without any scenario noticing: an entry that takes work while it hears any one peer kept every promise there.

Change: a fleet of eight entries in three data centres, and a fault that cuts three of them, together, from the others and the store while a data centre goes out. Upstreams stay in reach of them, so work sent wrongly shows.

On a scratch copy in which one peer counts for a majority, "three entries are cut off together" fails: work reached the data centre that was out 3.05 s late and later.

--- a/features/faults.py
+++ b/features/faults.py
@@ -109,6 +109,23 @@
     campaign.operate("data-centre", "in", "west", entries=["entry-1"])
 
 
+def minority_cut_off(fleet: Fleet, campaign: Campaign, seconds: float) -> None:
+    assert fleet.links is not None
+    names = list(fleet.entries)
+    minority = names[1:4]
+    majority = [n for n in names if n not in minority]
+    assert len(majority) > len(minority)
+    for inside in minority:
+        for outside in (*majority, "store"):
+            fleet.links.cut(inside, outside)
+            fleet.links.cut(outside, inside)
+    campaign.operate("data-centre", "out", "west", entries=["entry-1"])
+    time.sleep(seconds * 2 / 3)
+    fleet.links.heal()
+    time.sleep(seconds / 3)
+    campaign.operate("data-centre", "in", "west", entries=["entry-1"])
+
+
 def cut_from_each_other(fleet: Fleet, campaign: Campaign, seconds: float) -> None:
     assert fleet.links is not None
     fleet.links.cut("entry-1", VICTIM)
@@ -217,6 +234,7 @@
     "the list leases lapse": leases_lapse,
     "an entry is cut from the store": cut_from_store,
     "an entry is cut from all": cut_from_all,
+    "three entries are cut off together": minority_cut_off,
     "two entries are cut from each other": cut_from_each_other,
     "operators race": operators_race,
     "a data centre goes out and returns": centre_out_and_back,
--- a/features/fleets.py
+++ b/features/fleets.py
@@ -19,7 +19,7 @@
 }
 
 
-def _plan(*, linked: bool, **service: Any) -> FleetPlan:
+def _plan(*, linked: bool, entries: int = 3, **service: Any) -> FleetPlan:
     upstreams = [
         UpstreamPlan(
             service=name,
@@ -35,7 +35,7 @@
         for i in range(count)
     ]
     return FleetPlan(
-        entries={f"entry-{i + 1}": CENTRES[i % 3] for i in range(3)},
+        entries={f"entry-{i + 1}": CENTRES[i % 3] for i in range(entries)},
         upstreams=tuple(upstreams),
         services={
             "records": {"idempotent": True, **service},
@@ -50,4 +50,5 @@
 PLANS = {
     "plain": lambda: _plan(linked=False, max_body_bytes=2000),
     "linked": lambda: _plan(linked=True),
+    "wide": lambda: _plan(linked=True, entries=8),
 }
