Have the owner of a cold upstream give it work first

A cold upstream answers slowly; its owner learns that latency, which fades over 3 s, and places requests elsewhere, so the upstream works too seldom to warm up and its capacity is missing for longer. Two choices look at counts alone.

--- a/packages/core/src/borageramp_core/__init__.py
+++ b/packages/core/src/borageramp_core/__init__.py
@@ -23,7 +23,6 @@
     is_majority,
 )
 from borageramp_core._internal.decisions import Decision, DecisionLog
-from borageramp_core._internal.eligibility import UpstreamState
 from borageramp_core._internal.errors import (
     BorageRampError,
     ConfigurationConflictError,
@@ -35,6 +34,7 @@
     StoreError,
     StoreUnavailableError,
 )
+from borageramp_core._internal.found import UpstreamState
 from borageramp_core._internal.keys import (
     BoundKey,
     key_prefix,
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 
+from borageramp_core._internal.found import Found, UpstreamState
 from borageramp_core._internal.load import UpstreamLoad
 from borageramp_core._internal.messages import Repair, Submit
 from borageramp_core._internal.model import Service, Snapshot, Upstream
@@ -14,7 +14,7 @@
 from borageramp_core._internal.suspects import Suspects
 from borageramp_core._internal.warmup import WarmUp
 
-__all__ = ["Eligibility", "Found", "UpstreamState"]
+__all__ = ["Eligibility"]
 
 # How long an upstream that shed gets nothing new; doubles while it goes on.
 SHED_PAUSE_S = 0.01
@@ -32,59 +32,6 @@
 MIN_KNOWN_LATENCIES = 3
 
 
-@dataclass(kw_only=True, slots=True)
-class Found:
-    """What a search for upstreams found.
-
-    Attributes
-    ----------
-    candidates : list of Candidate
-        Upstreams that may take the request now.
-    usable : int
-        Upstreams that this entry may use for it, now or when they have room.
-    pending : int
-        Upstreams that this entry may use for it before long.
-    slots : int
-        Slots of the usable upstreams.
-    owners : list of str
-        Incarnations of peers that may use an upstream that this one may not.
-    purpose : str
-        Why it would be passed on.
-    blocked : str
-        Why there is nothing to use.
-    """
-
-    candidates: list[Candidate] = field(default_factory=list)
-    usable: int = 0
-    pending: int = 0
-    slots: int = 0
-    owners: list[str] = field(default_factory=list)
-    purpose: str = ""
-    blocked: str = "the service has no upstream in service"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class UpstreamState:
-    """The state of an upstream for an operator.
-
-    Attributes
-    ----------
-    upstream : Upstream
-        The upstream.
-    state : str
-        ``warm``, ``cold``, ``out``, ``leaving`` or ``ejected``.
-    why : str
-        What brought it there.
-    in_flight : int
-        Requests that it has from this entry.
-    """
-
-    upstream: Upstream
-    state: str
-    why: str
-    in_flight: int
-
-
 class Eligibility:
     """The rules on which upstreams may take new work.
 
@@ -193,6 +140,18 @@
             found.candidates = fast
         return bool(fast) or found.usable <= len(found.candidates)
 
+    def prefer_cold(self, found: Found) -> None:
+        """Keep only the cold candidates, if there are any.
+
+        They look slow, and left to themselves would warm up late.
+        """
+        cold = [c for c in found.candidates if not self._is_warm(c.upstream)]
+        if cold:
+            found.candidates = cold
+
+    def _is_warm(self, upstream: Upstream) -> bool:
+        return upstream.warmup_s <= 0 or self._warmup.is_warm(upstream.id)
+
     def _typical_latency_s(self, *, now_s: float) -> float:
         """Return the median latency of the upstreams."""
         if now_s - self._typical_at_s < SLOTS_INTERVAL_S:
@@ -227,8 +186,7 @@
             if self._in_rotation(upstream, now_s=now_s)
             and not self._outliers.is_ejected(upstream.id, now_s=now_s)
             and (
-                upstream.warmup_s <= 0
-                or self._warmup.is_warm(upstream.id)
+                self._is_warm(upstream)
                 or self._ownership.owns(upstream.id, now_s=now_s)
             )
         )
@@ -251,12 +209,11 @@
         if self._outliers.is_ejected(upstream.id, now_s=now_s):
             found.blocked = "every upstream in service is ejected"
             return
-        warm = self._warmup.is_warm(upstream.id) or upstream.warmup_s <= 0
-        if suspect or not warm:
-            if not self._may_own(
-                upstream, request, found, suspect=suspect, now_s=now_s
-            ):
-                return
+        owned_only = suspect or not self._is_warm(upstream)
+        if owned_only and not self._may_own(
+            upstream, request, found, suspect=suspect, now_s=now_s
+        ):
+            return
         found.usable += 1
         if self._has_room(upstream, suspect=suspect, now_s=now_s):
             load = self._loads[upstream.id]
@@ -390,7 +347,7 @@
         if self._outliers.is_ejected(upstream.id, now_s=now_s):
             failures = self._outliers.state(upstream.id).failures_in_row
             return "ejected", f"{failures} failures in a row"
-        if self._warmup.is_warm(upstream.id) or upstream.warmup_s <= 0:
+        if self._is_warm(upstream):
             return "warm", ""
         state = self._warmup.state(upstream.id, now_s=now_s)
         owner = self._ownership.owner(upstream.id, now_s=now_s)
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/found.py
@@ -0,0 +1,61 @@
+"""What a search for upstreams found, and how an upstream stands."""
+
+from dataclasses import dataclass, field
+
+from borageramp_core._internal.model import Upstream
+from borageramp_core._internal.placement import Candidate
+
+__all__ = ["Found", "UpstreamState"]
+
+
+@dataclass(kw_only=True, slots=True)
+class Found:
+    """What a search for upstreams found.
+
+    Attributes
+    ----------
+    candidates : list of Candidate
+        Upstreams that may take the request now.
+    usable : int
+        Upstreams that this entry may use for it, now or when they have room.
+    pending : int
+        Upstreams that this entry may use for it before long.
+    slots : int
+        Slots of the usable upstreams.
+    owners : list of str
+        Incarnations of peers that may use an upstream that this one may not.
+    purpose : str
+        Why it would be passed on.
+    blocked : str
+        Why there is nothing to use.
+    """
+
+    candidates: list[Candidate] = field(default_factory=list)
+    usable: int = 0
+    pending: int = 0
+    slots: int = 0
+    owners: list[str] = field(default_factory=list)
+    purpose: str = ""
+    blocked: str = "the service has no upstream in service"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamState:
+    """The state of an upstream for an operator.
+
+    Attributes
+    ----------
+    upstream : Upstream
+        The upstream.
+    state : str
+        ``warm``, ``cold``, ``out``, ``leaving`` or ``ejected``.
+    why : str
+        What brought it there.
+    in_flight : int
+        Requests that it has from this entry.
+    """
+
+    upstream: Upstream
+    state: str
+    why: str
+    in_flight: int
--- a/tests/contract/test_changes.py
+++ b/tests/contract/test_changes.py
@@ -1,17 +1,15 @@
 """Operators' changes are written, or refused, whatever the store does."""
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from borageramp_bench.processes import free_port
-from borageramp_bench.standins.store import StoreStandin, make_server
+from borageramp_bench.standins.store import StoreStandin
 from borageramp_entry._internal.control.changes import ChangeWriter
-from borageramp_entry._internal.store import EtcdStore
 from borageramp_settings import ChangeRequest
 from tests.lib.builders import make_tree
+from tests.lib.stores import running_store
 
 TIMEOUT_S = 0.2
 
@@ -22,17 +20,8 @@
     """Run a coroutine with a writer of changes and the stand-in behind it."""
 
     async def run() -> None:
-        standin, port = StoreStandin(), free_port()
-        server = make_server(standin)
-        await server.start("127.0.0.1", port)
-        store = EtcdStore(
-            endpoints=(f"127.0.0.1:{port}",), timeout_s=TIMEOUT_S, rng=random.Random(1)
-        )
-        try:
-            await body(ChangeWriter(store=store), standin)
-        finally:
-            store.close()
-            server.close()
+        async with running_store(timeout_s=TIMEOUT_S) as pair:
+            await body(ChangeWriter(store=pair.store), pair.standin)
 
     asyncio.run(run())
 
--- a/tests/contract/test_registry.py
+++ b/tests/contract/test_registry.py
@@ -1,17 +1,16 @@
 """An entry keeps its place on the list, whatever the store does."""
 
 import asyncio
-import random
 from typing import Any
 
 import pytest
 
-from borageramp_bench.processes import free_port
-from borageramp_bench.standins.store import StoreStandin, make_server
+from borageramp_bench.standins.store import StoreStandin
 from borageramp_core import ListedEntry, OutcomeUnknownError
 from borageramp_entry._internal.control.registry import RegistryTask
 from borageramp_entry._internal.store import EtcdStore
 from tests.lib.builders import make_entry
+from tests.lib.stores import running_store
 
 TIMEOUT_S = 0.2
 INTERVAL_S = 0.05
@@ -53,19 +52,9 @@
 @pytest.mark.parametrize("lost", [0, 1, 3])
 def test_entry_is_listed_again_after_lost_writes_and_a_lapsed_lease(lost: int) -> None:
     async def run() -> None:
-        standin, port = StoreStandin(), free_port()
-        server = make_server(standin)
-        await server.start("127.0.0.1", port)
-        store = ForgetfulStore(
-            endpoints=(f"127.0.0.1:{port}",),
-            timeout_s=TIMEOUT_S,
-            rng=random.Random(1),
-        )
-        store.lost_commits = lost
-        try:
-            assert await listed_after(standin, store) == {"e1"}
-        finally:
-            store.close()
-            server.close()
+        async with running_store(timeout_s=TIMEOUT_S, kind=ForgetfulStore) as pair:
+            assert isinstance(pair.store, ForgetfulStore)
+            pair.store.lost_commits = lost
+            assert await listed_after(pair.standin, pair.store) == {"e1"}
 
     asyncio.run(run())
--- a/tests/contract/test_store.py
+++ b/tests/contract/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from borageramp_bench.processes import free_port
-from borageramp_bench.standins.store import StoreStandin, make_server
+from borageramp_bench.standins.store import StoreStandin
 from borageramp_core import OutcomeUnknownError, StoreUnavailableError
 from borageramp_entry._internal.store import (
     Change,
@@ -16,6 +16,7 @@
     EtcdStore,
     Put,
 )
+from tests.lib.stores import running_store
 
 TIMEOUT_S = 0.4
 
@@ -26,17 +27,8 @@
     """Run a coroutine with an adapter and the stand-in that it talks to."""
 
     async def run() -> None:
-        standin, port = StoreStandin(), free_port()
-        server = make_server(standin)
-        await server.start("127.0.0.1", port)
-        store = EtcdStore(
-            endpoints=(f"127.0.0.1:{port}",), timeout_s=TIMEOUT_S, rng=random.Random(1)
-        )
-        try:
-            await body(store, standin)
-        finally:
-            store.close()
-            server.close()
+        async with running_store(timeout_s=TIMEOUT_S) as pair:
+            await body(pair.store, pair.standin)
 
     asyncio.run(run())
 
