End a doubt when an upstream has warmed up in full

Cause: found by reading. An upstream in doubt whose answers don't name its start warms up by time, but the doubt stayed, and each answer from then on reported the repair "warm again".

Change: being warm ends the doubt; only an answer that names the start reports it. The new test failed before (a repair for each answer) and passes after; tests/unit/test_warmup.py 8 passed.

--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -294,7 +294,7 @@
             upstream, start_id=start_id, sent_at_s=sent_at_s, now_s=now_s
         ):
             self._repaired(upstream, "it started anew")
-        elif doubted and self._warmup.is_warm(upstream.id):
+        elif doubted and start_id and self._warmup.is_warm(upstream.id):
             self._repaired(upstream, "it had not restarted", kind="warm again")
         if not self._warmup.is_warm(upstream.id):
             return
--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -136,6 +136,7 @@
         state.last_answer_s = now_s
         if state.worked_s >= upstream.warmup_s:
             state.warm = True
+            state.doubted = False
             state.since_s = now_s
         return state.warm
 
--- a/tests/unit/test_warmup.py
+++ b/tests/unit/test_warmup.py
@@ -85,6 +85,16 @@
     assert not warmup.is_warm(UPSTREAM)
 
 
+def test_doubt_that_only_time_ended_is_reported_once_at_most() -> None:
+    balancer, warmup = make_warm()
+    run_one(balancer, Result.DIED, sent_at_s=1.0, ended_at_s=1.1)
+    for number in range(30):
+        at_s = 1.2 + 0.4 * number
+        run_one(balancer, Result.ANSWERED, sent_at_s=at_s, ended_at_s=at_s + 0.05)
+    assert warmup.is_warm(UPSTREAM) and not warmup.is_doubted(UPSTREAM)
+    assert [r.kind for r in balancer.take_repairs()] == ["warm-up"]
+
+
 def test_peers_hear_of_the_doubt_and_of_its_end() -> None:
     peer = WarmUp()
     peer.learn_warm(UPSTREAM, start_id="first", age_s=0.0, now_s=0.0)
