Exit quietly when the reader of a command's output goes away

Cause: found by running the commands of the README and the operations page as printed: "borageramp status | head" ended in a traceback.

Change: a broken pipe ends the command with 141, as shells report it.

--- a/packages/cli/src/borageramp_cli/_internal/exits.py
+++ b/packages/cli/src/borageramp_cli/_internal/exits.py
@@ -26,6 +26,8 @@
         The change is written, but not yet known to be in force everywhere.
     NOT_FOUND
         There is no such thing.
+    OUTPUT_CUT
+        Whoever read the output went away, as shells report it.
     """
 
     OK = 0
@@ -36,3 +38,4 @@
     UNKNOWN = 5
     UNCONFIRMED = 6
     NOT_FOUND = 7
+    OUTPUT_CUT = 141
--- a/packages/cli/src/borageramp_cli/_internal/main.py
+++ b/packages/cli/src/borageramp_cli/_internal/main.py
@@ -1,5 +1,6 @@
 """The command ``borageramp``."""
 
+import os
 import sys
 
 import defopt
@@ -12,6 +13,7 @@
 from borageramp_cli._internal.commands.reference import reference
 from borageramp_cli._internal.commands.status import status
 from borageramp_cli._internal.commands.upstream import drain, undrain
+from borageramp_cli._internal.exits import Exit
 from borageramp_cli._internal.output import warn
 
 __all__ = ["main"]
@@ -31,7 +33,12 @@
     """Run the command."""
     try:
         code = defopt.run(COMMANDS, cli_options="has_default")
+        sys.stdout.flush()
     except CommandError as error:
         warn(str(error))
         sys.exit(error.exit_code)
+    except BrokenPipeError:
+        # The interpreter flushes once more at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(Exit.OUTPUT_CUT)
     sys.exit(code)
