Wait for the list in the registry test, and give slow machines time

Cause: the new contract tests waited for fixed, short times; on a busy machine they could fail for its slowness alone.

--- a/tests/contract/test_changes.py
+++ b/tests/contract/test_changes.py
@@ -11,7 +11,7 @@
 from tests.lib.builders import make_tree
 from tests.lib.stores import running_store
 
-TIMEOUT_S = 0.2
+TIMEOUT_S = 0.5
 
 Body = Callable[[ChangeWriter, StoreStandin], Awaitable[None]]
 
--- a/tests/contract/test_heartbeats.py
+++ b/tests/contract/test_heartbeats.py
@@ -17,7 +17,7 @@
 
 # Long, so that only what is sent at once arrives within a test.
 INTERVAL_S = 60.0
-TIMEOUT_S = 0.2
+TIMEOUT_S = 1.0
 
 
 class FakePeer(peer_grpc.PeerBase):
--- a/tests/contract/test_registry.py
+++ b/tests/contract/test_registry.py
@@ -7,14 +7,17 @@
 
 from borageramp_bench.standins.store import StoreStandin
 from borageramp_core import ListedEntry, OutcomeUnknownError
+from borageramp_entry._internal.control.keyspace import ENTRIES
 from borageramp_entry._internal.control.registry import RegistryTask
 from borageramp_entry._internal.store import EtcdStore
 from tests.lib.builders import make_entry
 from tests.lib.stores import running_store
 
-TIMEOUT_S = 0.2
+TIMEOUT_S = 1.0
 INTERVAL_S = 0.05
-LEASE_S = 60.0
+# Long, so that the lease is not due to be extended within a test.
+LEASE_S = 600.0
+WITHIN_S = 30.0
 
 
 class ForgetfulStore(EtcdStore):
@@ -29,7 +32,15 @@
         return await super().commit(commits)
 
 
-async def listed_after(standin: StoreStandin, store: ForgetfulStore) -> set[str]:
+async def wait_listed(standin: StoreStandin) -> None:
+    """Wait until the list has an entry."""
+    async with asyncio.timeout(WITHIN_S):
+        while not standin.dump(ENTRIES):
+            await asyncio.sleep(INTERVAL_S)
+
+
+async def keep_listed(standin: StoreStandin, store: ForgetfulStore) -> set[str]:
+    """Return who is on the list after the leases have lapsed once."""
     seen: list[ListedEntry] = []
     registry = RegistryTask(
         store=store,
@@ -41,9 +52,12 @@
         clock=asyncio.get_running_loop().time,
     )
     running = asyncio.ensure_future(registry.run())
-    await asyncio.sleep(10 * INTERVAL_S)
+    await wait_listed(standin)
     standin.expire("/")
-    await asyncio.sleep(10 * INTERVAL_S)
+    await wait_listed(standin)
+    async with asyncio.timeout(WITHIN_S):
+        while not seen:
+            await asyncio.sleep(INTERVAL_S)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
     return {e.name for e in seen}
@@ -55,6 +69,6 @@
         async with running_store(timeout_s=TIMEOUT_S, kind=ForgetfulStore) as pair:
             assert isinstance(pair.store, ForgetfulStore)
             pair.store.lost_commits = lost
-            assert await listed_after(pair.standin, pair.store) == {"e1"}
+            assert await keep_listed(pair.standin, pair.store) == {"e1"}
 
     asyncio.run(run())
