--- a/packages/entry/src/borageramp_entry/_internal/serving/race.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/race.py
@@ -122,19 +122,7 @@
                 result = error.result
             self._on_failed(ended, result)
             ended.end(result)
-            if result is Result.DIED:
-                self._cancel_others()
             if not self._open:
                 raise RaceLostError(last=ended, result=result) from error
             self._plan.on_lost(result)
         return None
-
-    def _cancel_others(self) -> None:
-        """Stop the tries beside one that an upstream died under.
-
-        The request is a crash suspect from now on. It has to run alone, and
-        not where peers, who don't know of it, place other suspects.
-        """
-        for opening in [o for o in self._open if not o.done()]:
-            self._open.pop(opening).cancel(opening)
-            self._plan.on_lost(Result.CANCELLED)
