Prefer cold upstreams for a quarter of the first tries only

It applied to every request that is not urgent: at light load an owner sent all of its first tries to the one cold upstream, and retries and hedges, which are there for a quick answer, too.

Change: a quarter of the first tries prefer cold upstreams; retries and hedges never do. A warm-up counts gaps of up to 0.5 s as work, so that is enough.

--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -162,7 +162,7 @@
         if found.candidates and len(self.running) < self.limit.allowed(urgent=urgent):
             if urgent and not self.eligibility.drop_slow(found, now_s=now_s):
                 return Queued(request=request, position=0)
-            if not urgent:
+            if not urgent and not request.extra:
                 self.eligibility.prefer_cold(found)
             choice = self._policy.choose(
                 found.candidates, urgent=urgent, rng=self._rng, now_s=now_s
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -28,6 +28,8 @@
 SHUFFLE_EVERY = 64
 SLOTS_INTERVAL_S = 0.25
 SLOW_ANSWERS = 5
+# Share of the first tries for which cold upstreams go first.
+COLD_FIRST_SHARE = 0.25
 # Fewer known latencies don't tell which one is slow.
 MIN_KNOWN_LATENCIES = 3
 
@@ -141,10 +143,13 @@
         return bool(fast) or found.usable <= len(found.candidates)
 
     def prefer_cold(self, found: Found) -> None:
-        """Keep only the cold candidates, if there are any.
+        """Keep only the cold candidates now and then, if there are any.
 
-        They look slow, and left to themselves would warm up late.
+        They look slow, and left to themselves would warm up late. A share of
+        the requests is enough, and the rest keep their latency.
         """
+        if self._rng.random() >= COLD_FIRST_SHARE:
+            return
         cold = [c for c in found.candidates if not self._is_warm(c.upstream)]
         if cold:
             found.candidates = cold
