Have entries settle which upstreams are warm when words come late

Views are put in order by the time that heartbeats give; a word that is taken in late looks later than it was, and a broken connection noticed after the new start was known carries the old start. The owner's word was then refused for its start or its time, and never said anew.

Ruled out: leases, readiness and the store (all entries were ready), and the owner's own view (warm).

Change: being warm dates from when the answer that shows it was asked for; an entry that refuses a peer's word on a warm upstream repeats its own, and whoever holds it for warm says so anew with its next answer. A word on another start counts if it is later by a second. A late answer of a dead start no longer begins a warm-up anew.

--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -39,6 +39,8 @@
     doubted : bool
         Whether it is taken to be cold only until it shows that it still is
         the start that was warm.
+    asked_at_s : float or None
+        Time at which a peer held it for cold; the next answer settles that.
     """
 
     since_s: float
@@ -49,14 +51,30 @@
     start_id: str = ""
     noted_at_s: float = float("-inf")
     doubted: bool = False
+    asked_at_s: float | None = None
 
 
 class WarmUp:
-    """The warm-up of every upstream, as one entry sees it."""
+    """The warm-up of every upstream, as one entry sees it.
+
+    Notes
+    -----
+    A state's time says when it was seen, by the clock of who holds it. Words
+    of peers arrive late by an unknown time, so that two states may stand in
+    the wrong order. The rules are made so that the views agree in the end:
+
+    - Being warm dates from when the answer that shows it was asked for, so
+      that it never looks later than it was.
+    - An entry that doesn't accept a peer's word that an upstream is warm
+      repeats its own word to the contrary. Whoever holds the upstream for
+      warm then says so anew with the next answer, and that is later.
+    """
 
     # An idle gap counts as work only up to this, so that an upstream with
     # one request a minute does not pass for warm.
     MAX_STEP_S = 0.5
+    # Words are late by no more than this, or get repeated until they are not.
+    LATE_WORD_S = 1.0
 
     def __init__(self) -> None:
         self._states: dict[str, WarmState] = {}
@@ -111,34 +129,66 @@
         """
         state = self.state(upstream.id, now_s=now_s)
         if start_id and state.start_id and start_id != state.start_id:
-            self.mark_cold(upstream.id, start_id=start_id, now_s=now_s)
-            return True
-        state.start_id = start_id or state.start_id
-        if state.doubted and start_id and sent_at_s > state.since_s:
-            state.warm, state.doubted, state.since_s = True, False, now_s
-            self._note(upstream.id, state, now_s=now_s)
-        if not state.warm and self._count_work(state, upstream, now_s=now_s):
-            self._note(upstream.id, state, now_s=now_s)
+            return self._on_other_start(
+                upstream.id, state, start_id, sent_at_s=sent_at_s, now_s=now_s
+            )
+        if start_id and not state.start_id:
+            state.start_id, state.since_s = start_id, now_s
+        if state.warm:
+            self._settle(upstream.id, state, sent_at_s=sent_at_s, now_s=now_s)
+        elif state.doubted and start_id and sent_at_s > state.since_s:
+            self._become_warm(upstream.id, state, at_s=sent_at_s, now_s=now_s)
+        else:
+            self._count_work(state, now_s=now_s)
+            if state.worked_s >= upstream.warmup_s:
+                at_s = max(sent_at_s, state.since_s)
+                self._become_warm(upstream.id, state, at_s=at_s, now_s=now_s)
         return False
 
+    def _on_other_start(
+        self,
+        upstream_id: str,
+        state: WarmState,
+        start_id: str,
+        *,
+        sent_at_s: float,
+        now_s: float,
+    ) -> bool:
+        if state.observed and sent_at_s <= state.since_s:
+            # Which of the two starts is the later one, the next answer tells.
+            if state.warm:
+                self.doubt(upstream_id, now_s=now_s)
+            return False
+        self.mark_cold(upstream_id, start_id=start_id, now_s=now_s)
+        return True
+
+    def _settle(
+        self, upstream_id: str, state: WarmState, *, sent_at_s: float, now_s: float
+    ) -> None:
+        """Say anew that an upstream is warm, if a peer held it for cold."""
+        if state.asked_at_s is not None and sent_at_s > state.asked_at_s:
+            self._become_warm(upstream_id, state, at_s=sent_at_s, now_s=now_s)
+
+    def _become_warm(
+        self, upstream_id: str, state: WarmState, *, at_s: float, now_s: float
+    ) -> None:
+        state.warm = True
+        state.doubted = False
+        state.asked_at_s = None
+        state.since_s = at_s
+        self._note(upstream_id, state, now_s=now_s)
+
     def _note(self, upstream_id: str, state: WarmState, *, now_s: float) -> None:
         state.observed = True
         state.noted_at_s = now_s
         self._noted[upstream_id] = None
         self._noted.move_to_end(upstream_id)
 
-    def _count_work(
-        self, state: WarmState, upstream: Upstream, *, now_s: float
-    ) -> bool:
+    def _count_work(self, state: WarmState, *, now_s: float) -> None:
         if state.last_answer_s is not None:
             step_s = now_s - state.last_answer_s
             state.worked_s += min(step_s, self.MAX_STEP_S)
         state.last_answer_s = now_s
-        if state.worked_s >= upstream.warmup_s:
-            state.warm = True
-            state.doubted = False
-            state.since_s = now_s
-        return state.warm
 
     def mark_cold(self, upstream_id: str, *, start_id: str, now_s: float) -> None:
         """Start the warm-up of an upstream afresh."""
@@ -178,6 +228,8 @@
         known_start = start_id and start_id == state.start_id and not state.warm
         older_start = doubted and state.start_id not in ("", start_id)
         if known_start or older_start or since_s <= state.since_s:
+            if state.warm:
+                state.asked_at_s = now_s
             return False
         self.mark_cold(upstream_id, start_id=start_id, now_s=since_s)
         self._states[upstream_id].noted_at_s = now_s
@@ -195,17 +247,22 @@
             Whether it was news.
         """
         state = self.state(upstream_id, now_s=now_s)
+        if state.warm:
+            return False
         since_s = now_s - age_s
-        other_start = state.start_id and start_id != state.start_id
-        if state.warm or other_start or (state.observed and since_s <= state.since_s):
+        known = state.observed or state.start_id
+        if known and since_s <= self._outdated_s(state, start_id):
+            self._note(upstream_id, state, now_s=now_s)
             return False
-        state.warm = True
-        state.doubted = False
-        state.since_s = since_s
         state.start_id = start_id
-        self._note(upstream_id, state, now_s=now_s)
+        self._become_warm(upstream_id, state, at_s=since_s, now_s=now_s)
         return True
 
+    def _outdated_s(self, state: WarmState, start_id: str) -> float:
+        """Return up to when a word on a start is older than what is known."""
+        same_start = state.start_id in ("", start_id)
+        return state.since_s + (0.0 if same_start else self.LATE_WORD_S)
+
     def forget(self, upstream_id: str) -> None:
         """Drop the state of an upstream, which is cold when it returns."""
         self._states.pop(upstream_id, None)
