Tell peers where crash suspects run, and keep suspects apart by it

Cause: the owner of an upstream keeps suspects apart by its own tries only. Two requests of one upstream that are hedged to the same second one can't be told apart either. A request that was passed on forgot where it had failed, so that the owner could run it there again. And a suspect waiting for an upstream of its own held up the whole queue of its service.

Change: heartbeats carry the tries of suspects under way, sent at once when a death is noticed and when such a try ends; suspects keep off upstreams that have another; a retry after a death waits 100 ms (a quarter of the time left at most) for these words; a copy of a suspect that is under way is refused at once with suspect_running; hedges keep two requests of one upstream apart where there is a choice; queued suspects are set aside; a passed-on request carries its excluded upstreams.

--- a/packages/core/src/borageramp_core/__init__.py
+++ b/packages/core/src/borageramp_core/__init__.py
@@ -67,6 +67,7 @@
 )
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.ownership import Ownership, rendezvous_owner
+from borageramp_core._internal.peer_tries import PeerTries, SuspectTry
 from borageramp_core._internal.placement import (
     Candidate,
     Choice,
@@ -115,6 +116,7 @@
     "OutcomeUnknownError",
     "Ownership",
     "PassOn",
+    "PeerTries",
     "Placed",
     "Placement",
     "PlacementPolicy",
@@ -139,6 +141,7 @@
     "StoreError",
     "StoreUnavailableError",
     "Submit",
+    "SuspectTry",
     "Suspects",
     "TokenBucket",
     "TwoChoices",
--- a/packages/core/src/borageramp_core/_internal/attempts.py
+++ b/packages/core/src/borageramp_core/_internal/attempts.py
@@ -78,7 +78,7 @@
         self._counted_tries = 1
         urgent = first.class_name in policy.urgent_classes
         self._patient = urgent or not policy.idempotent
-        self._excluded: frozenset[str] = frozenset()
+        self._excluded = first.excluded
         retries.earn()
         hedges.earn()
 
--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -8,6 +8,7 @@
 import random
 
 from borageramp_core._internal.eligibility import Eligibility
+from borageramp_core._internal.isolation import Isolation
 from borageramp_core._internal.limits import ConcurrencyLimit
 from borageramp_core._internal.load import UpstreamLoad
 from borageramp_core._internal.messages import (
@@ -36,6 +37,7 @@
 
 LATENCY_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.05
+SUSPECT_RETRY_AFTER_S = 0.5
 # An upstream with this many requests over its slots is overloaded; below, a
 # short queue at the upstream keeps its slots busy.
 OVERLOAD_QUEUE = 3
@@ -84,13 +86,13 @@
         self.latency_s = 0.0
         self._queued_at_s: dict[str, float] = {}
         self._repairs: list[Repair] = []
+        self.isolation = Isolation(suspects=suspects, running=self.running)
         self.eligibility = Eligibility(
             ownership=ownership,
             warmup=warmup,
-            suspects=suspects,
+            isolation=self.isolation,
             outliers=self.outliers,
             loads=self.loads,
-            running=self.running,
             repairs=self._repairs,
             rng=rng,
         )
@@ -151,6 +153,13 @@
                 detail="the deadline has passed",
                 retry_after_s=MIN_RETRY_AFTER_S,
             )
+        if self.isolation.runs_already(request, now_s=now_s):
+            return Refused(
+                request=request,
+                reason=Reason.SUSPECT_RUNNING,
+                detail="an upstream died under this request, and it runs already",
+                retry_after_s=SUSPECT_RETRY_AFTER_S,
+            )
         return None
 
     def _place(
@@ -333,6 +342,7 @@
             self._give_up(r, now_s=now_s)
             for r in self.queue.remove_expired(now_s=now_s)
         ]
+        aside: list[Submit] = []
         while len(self.queue) > 0:
             request = self.queue.pop()
             if request is None:
@@ -341,11 +351,17 @@
                 request, now_s=now_s
             )
             if isinstance(decision, Queued):
-                self.queue.push_front(request)
+                aside.append(request)
+                # A suspect waits for an upstream without others; nobody else
+                # has to wait for that.
+                if self.isolation.is_suspect(request.fingerprint, now_s=now_s):
+                    continue
                 break
             if not isinstance(decision, Placed):
                 self._queued_at_s.pop(request.request_id, None)
             decisions.append(decision)
+        for request in reversed(aside):
+            self.queue.push_front(request)
         return decisions
 
     def _give_up(self, request: Submit, *, now_s: float) -> Refused:
@@ -363,26 +379,6 @@
         self._queued_at_s.pop(request_id, None)
         return self.queue.remove(request_id) is not None
 
-    def on_death(self, upstream: Upstream, *, now_s: float) -> tuple[str, ...]:
-        """Record that an upstream died, with all that it was running here.
-
-        Returns
-        -------
-        tuple of str
-            Fingerprints of the requests that it was running.
-        """
-        beside = [r for r in self.running.values() if r.upstream.id == upstream.id]
-        by_start: dict[str, list[str]] = {}
-        for running in beside:
-            by_start.setdefault(running.start, []).append(running.request.fingerprint)
-        for start, names in by_start.items():
-            self._suspects.on_death(names, upstream=start, now_s=now_s)
-        return tuple(r.request.fingerprint for r in beside)
-
-    def is_suspect(self, name: str, *, now_s: float) -> bool:
-        """Tell whether an upstream died under a request."""
-        return self._suspects.deaths(name, now_s=now_s) > 0
-
 
 def _unqueued_s(finished: Finished, slots: int) -> float:
     """Return the latency less what the upstream's own queue made of it.
--- a/packages/core/src/borageramp_core/_internal/eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/eligibility.py
@@ -4,14 +4,13 @@
 from collections.abc import Iterator, Mapping
 
 from borageramp_core._internal.found import Found, UpstreamState
+from borageramp_core._internal.isolation import Isolation
 from borageramp_core._internal.load import UpstreamLoad
 from borageramp_core._internal.messages import Repair, Submit
 from borageramp_core._internal.model import Service, Snapshot, Upstream
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.ownership import Ownership
 from borageramp_core._internal.placement import Candidate
-from borageramp_core._internal.running import Running
-from borageramp_core._internal.suspects import Suspects
 from borageramp_core._internal.warmup import WarmUp
 
 __all__ = ["Eligibility"]
@@ -39,12 +38,10 @@
 
     Parameters
     ----------
-    ownership, warmup, suspects, outliers
+    ownership, warmup, isolation, outliers
         The state that the rules read.
     loads : mapping of str to UpstreamLoad
         Loads by upstream.
-    running : mapping of str to Running
-        Tries that upstreams have, by request.
     repairs : list of Repair
         Gets each repair.
     rng : random.Random
@@ -56,19 +53,17 @@
         *,
         ownership: Ownership,
         warmup: WarmUp,
-        suspects: Suspects,
+        isolation: Isolation,
         outliers: Outliers,
         loads: Mapping[str, UpstreamLoad],
-        running: Mapping[str, Running],
         repairs: list[Repair],
         rng: random.Random,
     ) -> None:
         self._ownership = ownership
         self._warmup = warmup
-        self._suspects = suspects
+        self._isolation = isolation
         self._outliers = outliers
         self._loads = loads
-        self._running = running
         self._repairs = repairs
         self._rng = rng
         self._order: list[Upstream] = []
@@ -116,20 +111,30 @@
             The candidates, and what else could be done.
         """
         found = Found()
-        suspect = self._suspects.deaths(request.fingerprint, now_s=now_s) > 0
+        suspect = self._isolation.is_suspect(request.fingerprint, now_s=now_s)
+        taken = self._isolation.taken(now_s=now_s) if suspect else None
         for upstream in self._shuffled():
             if upstream.id in request.excluded:
                 continue
             if not self._in_rotation(upstream, now_s=now_s):
                 continue
-            self._consider(upstream, request, found, suspect=suspect, now_s=now_s)
+            self._consider(upstream, request, found, taken=taken, now_s=now_s)
             if len(found.candidates) >= ENOUGH_CANDIDATES:
                 break
         if found.pending and not found.usable:
             found.blocked = "every upstream left is cold, ejected or busy"
         found.slots = self._slots_in_use(now_s=now_s)
+        if request.extra:
+            self._prefer_apart(request, found)
         return found
 
+    def _prefer_apart(self, request: Submit, found: Found) -> None:
+        """Keep two requests from having the same two upstreams."""
+        beside = self._isolation.beside(request.request_id)
+        apart = [c for c in found.candidates if c.upstream.id not in beside]
+        if apart:
+            found.candidates = apart
+
     def drop_slow(self, found: Found, *, now_s: float) -> bool:
         """Drop slow candidates; tell whether the rest is worth taking.
 
@@ -208,19 +213,27 @@
         request: Submit,
         found: Found,
         *,
-        suspect: bool,
+        taken: frozenset[str] | None,
         now_s: float,
     ) -> None:
+        """Note what an upstream can do for a request.
+
+        For a suspect, ``taken`` holds the upstreams that have another one.
+        """
+        suspect = taken is not None
         if self._outliers.is_ejected(upstream.id, now_s=now_s):
             found.blocked = "every upstream in service is ejected"
             return
+        if taken is not None and upstream.id in taken:
+            found.pending += 1
+            return
         owned_only = suspect or not self._is_warm(upstream)
         if owned_only and not self._may_own(
             upstream, request, found, suspect=suspect, now_s=now_s
         ):
             return
         found.usable += 1
-        if self._has_room(upstream, suspect=suspect, now_s=now_s):
+        if self._has_room(upstream, now_s=now_s):
             load = self._loads[upstream.id]
             found.candidates.append(Candidate(upstream=upstream, load=load))
 
@@ -243,24 +256,15 @@
             found.purpose = "suspect" if suspect else "warm_up"
         return False
 
-    def _has_room(self, upstream: Upstream, *, suspect: bool, now_s: float) -> bool:
+    def _has_room(self, upstream: Upstream, *, now_s: float) -> bool:
         if self._paused_until_s.get(upstream.id, 0.0) > now_s:
             return False
         load = self._loads[upstream.id]
         if self._outliers.on_trial(upstream.id) and load.in_flight > 0:
             return False
-        if suspect and self._has_suspect(upstream.id, now_s=now_s):
-            return False
         allowance = self._warmup.allowance(upstream, now_s=now_s)
         return load.in_flight < min(allowance, upstream.connections)
 
-    def _has_suspect(self, upstream_id: str, *, now_s: float) -> bool:
-        return any(
-            self._suspects.deaths(r.request.fingerprint, now_s=now_s) > 0
-            for r in self._running.values()
-            if r.upstream.id == upstream_id
-        )
-
     def on_shed(self, upstream: Upstream, *, now_s: float) -> None:
         """Give an upstream that shed a pause, longer each time in a row."""
         pause_s = self._shed_pause_s.get(upstream.id, SHED_PAUSE_S)
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/isolation.py
@@ -0,0 +1,120 @@
+"""Where crash suspects run, so that each death points at one request.
+
+A suspect runs only where no other suspect does. Its owner places it so, but
+it can't see the tries that began elsewhere before anybody was a suspect, a
+hedge above all. So entries tell each other which tries of suspects they have
+under way.
+"""
+
+from collections.abc import Mapping
+
+from borageramp_core._internal.messages import Submit
+from borageramp_core._internal.model import Upstream
+from borageramp_core._internal.peer_tries import SuspectTry
+from borageramp_core._internal.running import Running
+from borageramp_core._internal.suspects import Suspects
+
+__all__ = ["Isolation"]
+
+
+class Isolation:
+    """The suspects among the tries of one service, here and at peers.
+
+    Parameters
+    ----------
+    suspects : Suspects
+        Who is a suspect, and which tries of suspects peers have.
+    running : mapping of str to Running
+        Tries that upstreams have from this entry, by request.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: Suspects,
+        running: Mapping[str, Running],
+    ) -> None:
+        self._suspects = suspects
+        self._running = running
+
+    def is_suspect(self, fingerprint: str, *, now_s: float) -> bool:
+        """Tell whether an upstream died under a request."""
+        return self._suspects.deaths(fingerprint, now_s=now_s) > 0
+
+    def runs_suspect(self, request_id: str, *, now_s: float) -> bool:
+        """Tell whether a try under way is one of a suspect."""
+        running = self._running.get(request_id)
+        if running is None:
+            return False
+        return self.is_suspect(running.request.fingerprint, now_s=now_s)
+
+    def tries(self, *, now_s: float) -> list[SuspectTry]:
+        """Return the tries of suspects that this entry has under way."""
+        return [
+            SuspectTry(
+                fingerprint=running.request.fingerprint, upstream=running.upstream.id
+            )
+            for running in self._running.values()
+            if self.is_suspect(running.request.fingerprint, now_s=now_s)
+        ]
+
+    def runs_already(self, request: Submit, *, now_s: float) -> bool:
+        """Tell whether a suspect has another try under way anywhere."""
+        fingerprint = request.fingerprint
+        if not self.is_suspect(fingerprint, now_s=now_s):
+            return False
+        here = any(
+            running.request.fingerprint == fingerprint
+            for running in self._running.values()
+        )
+        return here or self._suspects.elsewhere.runs(fingerprint, now_s=now_s)
+
+    def taken(self, *, now_s: float) -> frozenset[str]:
+        """Return the upstreams that have a suspect."""
+        here = frozenset(t.upstream for t in self.tries(now_s=now_s))
+        return here | self._suspects.elsewhere.upstreams(now_s=now_s)
+
+    def beside(self, request_id: str) -> frozenset[str]:
+        """Return where a hedge would make two requests look alike.
+
+        Two requests that have the same two upstreams couldn't be told apart
+        if both upstreams died.
+
+        Parameters
+        ----------
+        request_id : str
+            Identifier of the hedge.
+
+        Returns
+        -------
+        frozenset of str
+            Upstreams with another try of a request that shares an upstream
+            with a try of this one.
+        """
+        places: dict[str, set[str]] = {}
+        for name, running in self._running.items():
+            places.setdefault(_base(name), set()).add(running.upstream.id)
+        own = places.pop(_base(request_id), set())
+        alike = [others for others in places.values() if others & own]
+        return frozenset().union(*alike) - own
+
+    def on_death(self, upstream: Upstream, *, now_s: float) -> tuple[str, ...]:
+        """Record that an upstream died, with all that it was running here.
+
+        Returns
+        -------
+        tuple of str
+            Fingerprints of the requests that it was running.
+        """
+        beside = [r for r in self._running.values() if r.upstream.id == upstream.id]
+        by_start: dict[str, list[str]] = {}
+        for running in beside:
+            by_start.setdefault(running.start, []).append(running.request.fingerprint)
+        for start, names in by_start.items():
+            self._suspects.on_death(names, upstream=start, now_s=now_s)
+        return tuple(r.request.fingerprint for r in beside)
+
+
+def _base(request_id: str) -> str:
+    """Return the request of a try."""
+    return request_id.partition("#")[0]
--- a/packages/core/src/borageramp_core/_internal/suspects.py
+++ b/packages/core/src/borageramp_core/_internal/suspects.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from borageramp_core._internal.peer_tries import PeerTries
+
 __all__ = ["Suspect", "Suspects", "fingerprint"]
 
 
@@ -65,12 +67,18 @@
     ----------
     limit : int
         Most suspects remembered; the oldest go first.
+
+    Attributes
+    ----------
+    elsewhere : PeerTries
+        Tries of suspects that peers have under way.
     """
 
     MAX_DEATHS = 2
     KEEP_S = 600.0
 
     def __init__(self, *, limit: int = 10_000) -> None:
+        self.elsewhere = PeerTries()
         self._limit = limit
         self._suspects: OrderedDict[str, Suspect] = OrderedDict()
 
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -18,8 +18,10 @@
     Ownership,
     ServingLease,
     Suspects,
+    SuspectTry,
     WarmUp,
 )
+from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.border.callers import CallerResource
 from borageramp_entry._internal.border.http import DrainingSite
 from borageramp_entry._internal.border.operators import OperatorResource
@@ -129,6 +131,7 @@
             serving=lambda: self._services.may_serve(),
             in_flight=self._in_flight,
             store_reachable=lambda: self._lease.store_reachable(now_s=self._clock()),
+            suspect_tries=self._suspect_tries,
             clock=self._clock,
         )
         self._peers = PeerTasks(
@@ -254,6 +257,12 @@
     def _in_flight(self) -> int:
         return self._callers.in_flight + sum(t.in_flight for t in self._tasks())
 
+    def _suspect_tries(self) -> Iterable[SuspectTry]:
+        now_s = self._clock()
+        return (
+            s for t in self._tasks() for s in t.balancer.isolation.tries(now_s=now_s)
+        )
+
     async def _tell_peers(self) -> None:
         await self._peers.tell_all(within_s=TELL_PEERS_WITHIN_S)
 
@@ -298,7 +307,7 @@
         )
         return PlacementTask(
             balancer=balancer,
-            on_warmth=self._peers.hurry,
+            on_news=self._peers.hurry,
             reporter=self._reporter,
             clock=self._clock,
         )
@@ -356,11 +365,11 @@
 
     async def _listen(self) -> IListeningPort:
         listen = self._settings.peer_listen_address or self._own.peer_address
-        host, port = _split(listen)
+        host, port = split_address(listen)
         await self._peer_server.start(host, port)
-        host, port = _split(self._own.operator_address)
+        host, port = split_address(self._own.operator_address)
         self._reactor.listenTCP(port, self._operator_site, interface=host)
-        host, port = _split(self._own.caller_address)
+        host, port = split_address(self._own.caller_address)
         listening: IListeningPort = self._reactor.listenTCP(
             port, self._site, interface=host, backlog=512
         )
@@ -389,8 +398,3 @@
         self._peer_server.close()
         await self._client.close()
         self._store.close()
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/packages/entry/src/borageramp_entry/_internal/border/peers.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/peers.py
@@ -11,13 +11,13 @@
 from borageramp_entry._internal.control.status import StatusExchange
 from borageramp_entry._internal.serving.delivery import Delivered
 from borageramp_entry._internal.serving.handover import adopt_request
+from borageramp_entry._internal.serving.passing import unpack_request
 from borageramp_entry._internal.serving.relay import refusal_message
-from borageramp_entry._internal.serving.requests import AnswerHead, CallerRequest
+from borageramp_entry._internal.serving.requests import AnswerHead
 from borageramp_wire import peer_grpc, peer_pb2
 
 __all__ = ["PeerService"]
 
-MS_PER_S = 1000
 # Parts of an answer sent in one message.
 MAX_CHUNK_BYTES = 262_144
 
@@ -139,7 +139,7 @@
                 detail="the peer can't take the request now",
                 retry_after_s=0.5,
             )
-        request = self._request(message)
+        request = unpack_request(message, now_s=self._clock())
         self._services.reporter.decided(
             request.request_id, "taken for a peer", purpose=message.purpose
         )
@@ -148,23 +148,6 @@
             return await self._services.serve(parsed, sink)
         return await self._services.dispatcher.run(request, sink)
 
-    def _request(self, message: peer_pb2.ExecuteRequest) -> CallerRequest:
-        claim = message.purpose == "claim"
-        return CallerRequest(
-            request_id=message.request_id,
-            service=message.service,
-            class_name=message.class_name,
-            deadline_s=self._clock() + message.deadline_ms / MS_PER_S,
-            method=message.method,
-            path=message.path,
-            headers=tuple((h.name, h.value) for h in message.headers),
-            body=message.body,
-            key=message.key,
-            caller_key=message.caller_key,
-            owner=message.owner if claim else "",
-            passed_on=not claim,
-        )
-
     async def Handover(self, stream: Any) -> None:
         request = await stream.recv_message()
         accepted = not self._services.closing() and adopt_request(
--- a/packages/entry/src/borageramp_entry/_internal/control/peers.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/peers.py
@@ -8,6 +8,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from borageramp_core import ListedEntry, Member, Membership, ServingLease
+from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.control.configuration import ConfigurationTask
 from borageramp_entry._internal.control.status import StatusExchange
 from borageramp_entry._internal.logs import get_logger
@@ -62,8 +63,8 @@
         clock: Callable[[], float],
     ) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
-        self.channel = Channel(host.strip("[]"), int(port))
+        host, port = split_address(address)
+        self.channel = Channel(host, port)
         self.stub = peer_grpc.PeerStub(self.channel)
         self._exchange = exchange
         self._configuration = configuration
--- a/packages/entry/src/borageramp_entry/_internal/control/status.py
+++ b/packages/entry/src/borageramp_entry/_internal/control/status.py
@@ -1,6 +1,6 @@
 """What an entry says of itself in a heartbeat, and reads from a peer's."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import islice
 
@@ -11,6 +11,7 @@
     Membership,
     Ownership,
     Suspects,
+    SuspectTry,
     WarmUp,
 )
 from borageramp_entry._internal.reporting import Reporter
@@ -60,6 +61,8 @@
         Is told what was learnt.
     revision, serving, in_flight, store_reachable : callable
         Read the present values.
+    suspect_tries : callable
+        Returns the tries of suspects that this entry has under way.
     clock : callable
         Returns the present time in seconds.
     """
@@ -73,6 +76,7 @@
         serving: Callable[[], bool],
         in_flight: Callable[[], int],
         store_reachable: Callable[[], bool],
+        suspect_tries: Callable[[], Iterable[SuspectTry]],
         clock: Callable[[], float],
     ) -> None:
         self._fleet = fleet
@@ -81,6 +85,7 @@
         self._serving = serving
         self._in_flight = in_flight
         self._store_reachable = store_reachable
+        self._suspect_tries = suspect_tries
         self._clock = clock
 
     def heard_at_s(self, peer_address: str) -> float:
@@ -125,6 +130,10 @@
             warmups=cold,
             warm=warm,
             suspects=self._suspect_marks(now_s=now_s),
+            suspect_tries=[
+                peer_pb2.SuspectTry(fingerprint=t.fingerprint, upstream=t.upstream)
+                for t in self._suspect_tries()
+            ],
             successions=[
                 peer_pb2.Succession(incarnation=name)
                 for name in self._fleet.claims.incarnations()
@@ -198,6 +207,14 @@
                 age_s=mark.age_ms / MS_PER_S,
                 now_s=now_s,
             )
+        self._fleet.suspects.elsewhere.learn(
+            status.incarnation,
+            (
+                SuspectTry(fingerprint=t.fingerprint, upstream=t.upstream)
+                for t in status.suspect_tries
+            ),
+            now_s=now_s,
+        )
         self._fleet.membership.on_successions(
             status.incarnation, (s.incarnation for s in status.successions)
         )
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -33,6 +33,7 @@
 # Owners that can't be reached are few; another is chosen this many times.
 MAX_UNSENT_HOPS = 4
 HOP_PAUSE_S = 0.02
+SUSPECT_PAUSE_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,6 +163,7 @@
                 path=request.path,
                 body=request.body,
             ),
+            excluded=request.excluded,
             passed_on=request.passed_on,
         )
         self._plan = AttemptPlan(
@@ -216,6 +218,7 @@
                 self._request,
                 purpose=decision.purpose,
                 sink=self._sink,
+                excluded=decision.request.excluded,
                 late_s=self._terms.late_s,
             )
         except RefusedError as error:
@@ -268,7 +271,7 @@
         return self._task.latencies.quantile_s(policy.hedge_quantile)
 
     def _suspect(self) -> bool:
-        return self._task.balancer.is_suspect(
+        return self._task.balancer.isolation.is_suspect(
             self._first.fingerprint, now_s=self._parts.clock()
         )
 
@@ -294,6 +297,8 @@
             result, upstream_id=failed.upstream.id, now_s=self._parts.clock()
         )
         if isinstance(following, Retry):
+            if result is Result.DIED:
+                await self._let_words_arrive()
             return self._retry(following, failed.upstream, result)
         raise RefusedError(
             verdict=following.verdict,
@@ -302,6 +307,15 @@
             retry_after_s=MIN_RETRY_AFTER_S,
         )
 
+    async def _let_words_arrive(self) -> None:
+        """Wait until peers may have told which suspects they run, and where.
+
+        They notice a death at about the same time. Without their word this
+        request could run beside the one that killed the upstream.
+        """
+        left_s = self._request.deadline_s - self._parts.clock()
+        await asyncio.sleep(max(0.0, min(SUSPECT_PAUSE_S, left_s / 4)))
+
     def _retry(self, retry: Retry, upstream: Upstream, result: Result) -> Submit:
         self._parts.reporter.metrics.extra(service=self._request.service, kind="retry")
         self._parts.reporter.decided(
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -39,8 +39,8 @@
     ----------
     balancer : Balancer
         Decisions on the service.
-    on_warmth : callable
-        Called when an upstream was noticed to be cold, or warm after all.
+    on_news : callable
+        Called when peers should hear at once what this entry knows.
     reporter : Reporter
         Is told each decision.
     clock : callable
@@ -51,7 +51,7 @@
         self,
         *,
         balancer: Balancer,
-        on_warmth: Callable[[], None],
+        on_news: Callable[[], None],
         reporter: Reporter,
         clock: Callable[[], float],
     ) -> None:
@@ -61,7 +61,7 @@
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
         self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
-        self._on_warmth = on_warmth
+        self._on_news = on_news
         self._reporter = reporter
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Settled]] = {}
@@ -140,10 +140,14 @@
             )
         if result is Result.ANSWERED:
             self.latencies.add(finished.latency_s)
+        now_s = self._clock()
+        suspect = self.balancer.isolation.runs_suspect(request_id, now_s=now_s)
         name = self.balancer.service.name
         self._reporter.metrics.tried(service=name, result=result)
-        self._settle(self.balancer.finish(finished, now_s=self._clock()))
+        self._settle(self.balancer.finish(finished, now_s=now_s))
         self._report_repairs()
+        if suspect:
+            self._on_news()
 
     def on_probe(self, upstream: Upstream, report: LoadReport) -> None:
         """Take in the answer to a probe."""
@@ -157,14 +161,15 @@
                 repair.kind, upstream=repair.upstream, why=repair.why
             )
         if any(repair.kind in PEERS_HEAR_OF for repair in repairs):
-            self._on_warmth()
+            self._on_news()
 
     def on_death(self, upstream: Upstream) -> tuple[str, ...]:
         """Record that an upstream died with what it was running."""
-        names = self.balancer.on_death(upstream, now_s=self._clock())
+        names = self.balancer.isolation.on_death(upstream, now_s=self._clock())
         self._reporter.repaired(
             "crash suspects", upstream=upstream.id, requests=len(names)
         )
+        self._on_news()
         return names
 
     def _settle(self, decisions: list[Placement]) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/relay.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/relay.py
@@ -8,6 +8,7 @@
 from borageramp_core import Member, Membership, Reason, RefusedError, Verdict
 from borageramp_entry._internal.control.peers import PEER_FAILURES, PeerTasks
 from borageramp_entry._internal.serving.delivery import BODY_IDLE_S, Delivered
+from borageramp_entry._internal.serving.passing import pack_request
 from borageramp_entry._internal.serving.requests import (
     AnswerHead,
     AnswerSink,
@@ -75,6 +76,7 @@
         *,
         purpose: str,
         sink: AnswerSink,
+        excluded: frozenset[str] = frozenset(),
         late_s: float = 0.0,
     ) -> Delivered:
         """Have a peer run a request, and deliver its answer.
@@ -89,6 +91,8 @@
             ``claim``, ``warm_up`` or ``suspect``.
         sink : AnswerSink
             Where the answer goes.
+        excluded : frozenset of str
+            Upstreams that have already failed it.
         late_s : float
             Time after the deadline for which an answer is still wanted.
 
@@ -106,11 +110,12 @@
             raise _unreachable(unsent, "the peer has been silent")
         stub = await self._connected(member, unsent)
         left_s = max(0.0, request.deadline_s - self._clock()) + late_s
-        message = _message(
+        message = pack_request(
             request,
             purpose=purpose,
             owner=incarnation,
-            left_s=request.deadline_s - self._clock(),
+            excluded=excluded,
+            now_s=self._clock(),
         )
         reader = _AnswerReader(sink)
         try:
@@ -191,24 +196,3 @@
         detail=detail,
         retry_after_s=RETRY_AFTER_S,
     )
-
-
-def _message(
-    request: CallerRequest, *, purpose: str, owner: str, left_s: float
-) -> peer_pb2.ExecuteRequest:
-    return peer_pb2.ExecuteRequest(
-        request_id=request.request_id,
-        service=request.service,
-        class_name=request.class_name,
-        deadline_ms=max(0, int(left_s * MS_PER_S)),
-        method=request.method,
-        path=request.path,
-        headers=[
-            peer_pb2.Header(name=name, value=value) for name, value in request.headers
-        ],
-        body=request.body,
-        key=request.key,
-        caller_key=request.caller_key,
-        purpose=purpose,
-        owner=owner,
-    )
--- a/packages/entry/src/borageramp_entry/_internal/serving/requests.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/requests.py
@@ -37,6 +37,8 @@
         request came from a caller.
     passed_on : bool
         Whether a peer passed it on.
+    excluded : frozenset of str
+        Upstreams that failed it at that peer.
     """
 
     request_id: str
@@ -52,6 +54,7 @@
     issued_ms: int | None = None
     owner: str = ""
     passed_on: bool = False
+    excluded: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/src/borageramp_entry/_internal/store/etcd.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/etcd.py
@@ -12,6 +12,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from borageramp_core import OutcomeUnknownError, StoreUnavailableError
+from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.store.base import (
     Change,
     Commit,
@@ -67,8 +68,8 @@
 
     def _connect(self) -> Channel:
         if self._channel is None:
-            host, _, port = self._endpoints[self._index].rpartition(":")
-            self._channel = Channel(host.strip("[]"), int(port))
+            host, port = split_address(self._endpoints[self._index])
+            self._channel = Channel(host, port)
         return self._channel
 
     def _fail_over(self, channel: Channel) -> None:
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -26,6 +26,18 @@
     assert hedges.spent == 0
 
 
+def test_retry_keeps_off_upstreams_that_failed_at_the_peer_before() -> None:
+    plan = AttemptPlan(
+        first=make_submit(excluded=frozenset({"u1"})),
+        policy=ServicePolicy(),
+        retries=RatioBudget(ratio=1.0),
+        hedges=RatioBudget(ratio=0.0),
+    )
+    following = plan.on_result(Result.DIED, upstream_id="u2", now_s=0.0)
+    assert isinstance(following, Retry)
+    assert following.submit.excluded == {"u1", "u2"}
+
+
 def test_retry_follows_only_what_did_not_run_unless_idempotent() -> None:
     for idempotent in (True, False):
         for result in Result:
--- /dev/null
+++ b/tests/unit/test_isolation.py
@@ -0,0 +1,118 @@
+"""Where crash suspects run."""
+
+from borageramp_core import (
+    Balancer,
+    Placed,
+    Queued,
+    Reason,
+    Refused,
+    Suspects,
+    SuspectTry,
+)
+from tests.lib.builders import make_balancer, make_service, make_submit, make_upstream
+
+PEER = "peer"
+
+
+def make_suspects(*names: str) -> Suspects:
+    """Return suspects under which one upstream died."""
+    suspects = Suspects()
+    suspects.on_death(names, upstream="u9@a", now_s=0.0)
+    return suspects
+
+
+def make_pair(suspects: Suspects, *, members: tuple[str, ...] = ("me",)) -> Balancer:
+    """Return a balancer of two upstreams, both owned by this entry."""
+    service = make_service(make_upstream("u1"), make_upstream("u2"))
+    return make_balancer(service, suspects=suspects, members=members)
+
+
+def hear(suspects: Suspects, *tries: tuple[str, str], now_s: float = 0.0) -> None:
+    """Take in the tries of suspects, by request and upstream, of a peer."""
+    heard = [SuspectTry(fingerprint=f, upstream=f"records/{u}") for f, u in tries]
+    suspects.elsewhere.learn(PEER, heard, now_s=now_s)
+
+
+def place(balancer: Balancer, name: str, *, now_s: float = 0.0) -> str:
+    """Place a request; return the upstream, or how it was decided."""
+    decision = balancer.submit(make_submit(name), now_s=now_s)
+    if isinstance(decision, Placed):
+        return decision.upstream.name
+    return type(decision).__name__
+
+
+def test_suspect_keeps_off_an_upstream_where_a_peer_runs_another() -> None:
+    suspects = make_suspects("innocent", "hedged")
+    balancer = make_pair(suspects)
+    hear(suspects, ("hedged", "u1"))
+    assert place(balancer, "innocent") == "u2"
+    hear(suspects, ("hedged", "u1"), ("third", "u2"))
+    balancer = make_pair(suspects)
+    assert place(balancer, "innocent") == "Queued"
+
+
+def test_other_requests_may_run_beside_a_suspect() -> None:
+    suspects = make_suspects("hedged")
+    hear(suspects, ("hedged", "u1"), ("hedged", "u2"))
+    assert place(make_pair(suspects), "other") in ("u1", "u2")
+
+
+def test_word_of_a_peer_ends_with_its_next_word_or_with_time() -> None:
+    suspects = make_suspects("innocent")
+    hear(suspects, ("hedged", "u1"), ("third", "u2"))
+    assert place(make_pair(suspects), "innocent") == "Queued"
+    assert place(make_pair(suspects), "innocent", now_s=6.0) in ("u1", "u2")
+    hear(suspects)
+    assert place(make_pair(suspects), "innocent") in ("u1", "u2")
+
+
+def test_copy_of_a_suspect_that_runs_elsewhere_is_refused_at_once() -> None:
+    suspects = make_suspects("crashing")
+    hear(suspects, ("crashing", "u1"))
+    decision = make_pair(suspects).submit(make_submit("crashing"), now_s=0.0)
+    assert isinstance(decision, Refused)
+    assert decision.reason is Reason.SUSPECT_RUNNING
+    assert decision.retry_after_s > 0.0
+
+
+def test_copy_of_a_suspect_that_runs_here_is_refused_at_once() -> None:
+    balancer = make_pair(make_suspects("crashing"))
+    first = make_submit("a", fingerprint="crashing")
+    copy = make_submit("b", fingerprint="crashing")
+    assert isinstance(balancer.submit(first, now_s=0.0), Placed)
+    decision = balancer.submit(copy, now_s=0.0)
+    assert isinstance(decision, Refused)
+    assert decision.reason is Reason.SUSPECT_RUNNING
+
+
+def test_two_requests_on_one_upstream_are_not_hedged_to_the_same_other() -> None:
+    upstreams = [make_upstream(f"u{i}", slots=8) for i in range(4)]
+    balancer = make_balancer(make_service(*upstreams))
+    for name in ("a", "b"):
+        others = frozenset(u.id for u in upstreams[1:])
+        first = make_submit(name, excluded=others)
+        assert isinstance(balancer.submit(first, now_s=0.0), Placed)
+    hedges = []
+    for name in ("a", "b"):
+        hedge = make_submit(
+            f"{name}#2", excluded=frozenset({upstreams[0].id}), extra=True
+        )
+        placed = balancer.submit(hedge, now_s=0.0)
+        assert isinstance(placed, Placed)
+        hedges.append(placed.upstream.name)
+        # Nothing but the rule speaks against the same choice again.
+        for upstream in upstreams[1:]:
+            latency_s = 0.001 if upstream is placed.upstream else 1.0
+            balancer.loads[upstream.id].on_latency(latency_s, now_s=0.0)
+    assert hedges[0] != hedges[1]
+
+
+def test_suspect_that_waits_holds_nobody_up() -> None:
+    suspects = make_suspects("s1", "s2")
+    balancer = make_balancer(make_service(make_upstream(slots=8)), suspects=suspects)
+    assert place(balancer, "s1") == "u1"
+    assert place(balancer, "s2") == "Queued"
+    assert isinstance(balancer.submit(make_submit("other"), now_s=0.0), Queued)
+    decisions = balancer.drain(now_s=0.0)
+    assert [d.request.request_id for d in decisions] == ["other"]
+    assert [r.request_id for r in balancer.queue] == ["s2"]
