Have the lightest request give way to a heavier one when the queue is full

Cause: found by reading. newest_of_lightest was written for a full queue and never called: an urgent request that found queue_limit lighter ones waiting was refused as overloaded. And a hedge that could not be placed took a place in the queue for an instant.

Hedges ask for a place without queueing. Refusals and their texts moved to a module of their own.

Measured: test_full_queue_makes_room_for_an_urgent_request failed before, passes after; tests/unit all pass.

--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -7,6 +7,7 @@
 
 import random
 
+from borageramp_core._internal import refusals
 from borageramp_core._internal.eligibility import Eligibility
 from borageramp_core._internal.isolation import Isolation
 from borageramp_core._internal.limits import ConcurrencyLimit
@@ -28,7 +29,6 @@
 from borageramp_core._internal.ownership import Ownership
 from borageramp_core._internal.placement import LeastEstimate, PlacementPolicy
 from borageramp_core._internal.queueing import ClassQueue
-from borageramp_core._internal.reasons import Reason
 from borageramp_core._internal.running import Running
 from borageramp_core._internal.suspects import Suspects
 from borageramp_core._internal.warmup import WarmUp
@@ -36,8 +36,6 @@
 __all__ = ["Balancer"]
 
 LATENCY_WEIGHT = 0.05
-MIN_RETRY_AFTER_S = 0.05
-SUSPECT_RETRY_AFTER_S = 0.5
 # An upstream with this many requests over its slots is overloaded; below, a
 # short queue at the upstream keeps its slots busy.
 OVERLOAD_QUEUE = 3
@@ -85,6 +83,8 @@
         self.limit = ConcurrencyLimit()
         self.latency_s = 0.0
         self._queued_at_s: dict[str, float] = {}
+        # Requests that gave way in the queue; the next round tells them.
+        self._displaced: list[Refused] = []
         self._repairs: list[Repair] = []
         self.isolation = Isolation(suspects=suspects, running=self.running)
         self.eligibility = Eligibility(
@@ -138,28 +138,22 @@
                 return decision
         return self._enqueue(request, now_s=now_s)
 
+    def place_now(self, request: Submit, *, now_s: float) -> Placed | None:
+        """Place a request if it need not wait; it takes no place in the queue."""
+        if self._refuse_early(request, now_s=now_s) is not None:
+            return None
+        if self.queue.ahead_of(request.class_name) > 0:
+            return None
+        decision = self._place(request, now_s=now_s)
+        return decision if isinstance(decision, Placed) else None
+
     def _refuse_early(self, request: Submit, *, now_s: float) -> Refused | None:
         if self._suspects.is_condemned(request.fingerprint, now_s=now_s):
-            return Refused(
-                request=request,
-                reason=Reason.CRASHES_UPSTREAMS,
-                detail="upstreams died while they ran this request",
-                retry_after_s=Suspects.KEEP_S,
-            )
+            return refusals.condemned(request)
         if request.deadline_s <= now_s:
-            return Refused(
-                request=request,
-                reason=Reason.DEADLINE_PASSED,
-                detail="the deadline has passed",
-                retry_after_s=MIN_RETRY_AFTER_S,
-            )
+            return refusals.deadline_passed(request)
         if self.isolation.runs_already(request, now_s=now_s):
-            return Refused(
-                request=request,
-                reason=Reason.SUSPECT_RUNNING,
-                detail="an upstream died under this request, and it runs already",
-                retry_after_s=SUSPECT_RETRY_AFTER_S,
-            )
+            return refusals.suspect_running(request)
         return None
 
     def _place(
@@ -187,12 +181,7 @@
             member = self._rng.choice(found.owners)
             return PassOn(request=request, member=member, purpose=found.purpose)
         if not found.usable and not found.pending:
-            return Refused(
-                request=request,
-                reason=Reason.NO_UPSTREAM,
-                detail=found.blocked,
-                retry_after_s=1.0,
-            )
+            return refusals.no_upstream(request, why=found.blocked)
         return Queued(request=request, position=len(self.queue))
 
     def _start(
@@ -223,24 +212,22 @@
     def _enqueue(self, request: Submit, *, now_s: float) -> Queued | Refused:
         wait_s = self.expected_wait_s(request.class_name)
         if now_s + wait_s + self.latency_s > request.deadline_s:
-            return Refused(
-                request=request,
-                reason=Reason.DEADLINE_UNREACHABLE,
-                detail=f"expected wait of {wait_s:.3f} s passes the deadline",
-                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
-            )
+            return refusals.deadline_unreachable(request, wait_s=wait_s)
         if len(self.queue) >= self.service.policy.queue_limit:
-            return Refused(
-                request=request,
-                reason=Reason.OVERLOADED,
-                detail="the queue is full",
-                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
-            )
+            lighter = self.queue.newest_of_lightest(request.class_name)
+            if lighter is None:
+                return refusals.queue_full(request, wait_s=wait_s)
+            self._displace(lighter)
         position = self.queue.ahead_of(request.class_name)
         self.queue.push(request)
         self._queued_at_s[request.request_id] = now_s
         return Queued(request=request, position=position)
 
+    def _displace(self, request: Submit) -> None:
+        self._queued_at_s.pop(request.request_id, None)
+        wait_s = self.expected_wait_s(request.class_name)
+        self._displaced.append(refusals.queue_full(request, wait_s=wait_s))
+
     def expected_wait_s(self, class_name: str) -> float:
         """Estimate the time that a new request of a class would wait."""
         width = max(1, self.limit.value)
@@ -342,6 +329,8 @@
             self._give_up(r, now_s=now_s)
             for r in self.queue.remove_expired(now_s=now_s)
         ]
+        decisions += self._displaced
+        self._displaced = []
         aside: list[Submit] = []
         while len(self.queue) > 0:
             request = self.queue.pop()
@@ -367,12 +356,7 @@
     def _give_up(self, request: Submit, *, now_s: float) -> Refused:
         self._queued_at_s.pop(request.request_id, None)
         wait_s = self.expected_wait_s(request.class_name)
-        return Refused(
-            request=request,
-            reason=Reason.DEADLINE_PASSED,
-            detail="the deadline passed while the request waited",
-            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
-        )
+        return refusals.deadline_passed(request, wait_s=wait_s)
 
     def cancel(self, request_id: str) -> bool:
         """Take a waiting request out; tell whether it was waiting."""
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/refusals.py
@@ -0,0 +1,78 @@
+"""The refusals that placement gives, each with its reason and when to return."""
+
+from borageramp_core._internal.messages import Refused, Submit
+from borageramp_core._internal.reasons import Reason
+from borageramp_core._internal.suspects import Suspects
+
+__all__ = [
+    "condemned",
+    "deadline_passed",
+    "deadline_unreachable",
+    "no_upstream",
+    "queue_full",
+    "suspect_running",
+]
+
+MIN_RETRY_AFTER_S = 0.05
+SUSPECT_RETRY_AFTER_S = 0.5
+NO_UPSTREAM_RETRY_AFTER_S = 1.0
+
+
+def condemned(request: Submit) -> Refused:
+    """Refuse a request under which too many upstreams died."""
+    return Refused(
+        request=request,
+        reason=Reason.CRASHES_UPSTREAMS,
+        detail="upstreams died while they ran this request",
+        retry_after_s=Suspects.KEEP_S,
+    )
+
+
+def suspect_running(request: Submit) -> Refused:
+    """Refuse a copy of a suspect that has a try under way."""
+    return Refused(
+        request=request,
+        reason=Reason.SUSPECT_RUNNING,
+        detail="an upstream died under this request, and it runs already",
+        retry_after_s=SUSPECT_RETRY_AFTER_S,
+    )
+
+
+def no_upstream(request: Submit, *, why: str) -> Refused:
+    """Refuse a request that no upstream may take."""
+    return Refused(
+        request=request,
+        reason=Reason.NO_UPSTREAM,
+        detail=why,
+        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
+    )
+
+
+def deadline_unreachable(request: Submit, *, wait_s: float) -> Refused:
+    """Refuse a request that would wait past its deadline."""
+    return Refused(
+        request=request,
+        reason=Reason.DEADLINE_UNREACHABLE,
+        detail=f"expected wait of {wait_s:.3f} s passes the deadline",
+        retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+    )
+
+
+def deadline_passed(request: Submit, *, wait_s: float = 0.0) -> Refused:
+    """Give up a request whose deadline has passed."""
+    return Refused(
+        request=request,
+        reason=Reason.DEADLINE_PASSED,
+        detail="the deadline has passed",
+        retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+    )
+
+
+def queue_full(request: Submit, *, wait_s: float) -> Refused:
+    """Refuse a request for which the queue has no place."""
+    return Refused(
+        request=request,
+        reason=Reason.OVERLOADED,
+        detail="the queue is full",
+        retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+    )
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -118,12 +118,10 @@
 
     def place_now(self, submit: Submit) -> Placed | None:
         """Place a request if that needs no waiting."""
-        decision = self.balancer.submit(submit, now_s=self._clock())
-        if isinstance(decision, Placed):
-            self._report(decision)
-            return decision
-        self.balancer.cancel(submit.request_id)
-        return None
+        placed = self.balancer.place_now(submit, now_s=self._clock())
+        if placed is not None:
+            self._report(placed)
+        return placed
 
     def finish(
         self,
--- a/tests/unit/test_urgent.py
+++ b/tests/unit/test_urgent.py
@@ -4,11 +4,14 @@
 
 from borageramp_core import (
     AttemptPlan,
+    Balancer,
     Finished,
     GiveUp,
     Placed,
     Queued,
     RatioBudget,
+    Reason,
+    Refused,
     Result,
     Retry,
     ServicePolicy,
@@ -78,3 +81,41 @@
     assert isinstance(balancer.submit(again.submit, now_s=0.001), Queued)
     later = balancer.drain(now_s=0.1)
     assert [type(d) for d in later] == [Placed]
+
+
+def fill_queue(limit: int) -> Balancer:
+    """Return a balancer whose queue is full of requests of a light class."""
+    service = make_service(
+        make_upstream(slots=1),
+        queue_limit=limit,
+        class_weights={"urgent": 100, "normal": 10},
+        urgent_classes=("urgent",),
+    )
+    balancer = make_balancer(service)
+    waiting: list[str] = []
+    for number in range(1000):
+        decision = balancer.submit(make_submit(f"n{number}"), now_s=0.0)
+        if isinstance(decision, Queued):
+            waiting.append(decision.request.request_id)
+        if len(waiting) == limit:
+            return balancer
+    raise AssertionError("the queue did not fill")
+
+
+def test_full_queue_makes_room_for_an_urgent_request() -> None:
+    balancer = fill_queue(2)
+    newest = list(balancer.queue)[-1].request_id
+    urgent = balancer.submit(make_submit("u", class_name="urgent"), now_s=0.0)
+    assert isinstance(urgent, Queued)
+    refused = [d for d in balancer.drain(now_s=0.0) if isinstance(d, Refused)]
+    assert [r.request.request_id for r in refused] == [newest]
+    assert refused[0].reason is Reason.OVERLOADED
+    assert refused[0].retry_after_s > 0.0
+    assert len(balancer.queue) == 2
+
+
+def test_full_queue_makes_no_room_for_an_equal() -> None:
+    balancer = fill_queue(2)
+    decision = balancer.submit(make_submit("late"), now_s=0.0)
+    assert isinstance(decision, Refused)
+    assert not balancer.drain(now_s=0.0)
