Read the entry's command line without a parser of docstrings

Importing defopt brings docutils, Pygments, napoleon and 75 more modules, 5.2 MB of resident memory, for seven flags that are read once.

Ruled out: the core (1.8 MB), the wire (2.9), metrics (2.7); structlog's 7.4 MB are mostly modules that twisted needs anyway.

Change: argparse in the entry, with the same flags. The command line of operators keeps defopt.

--- a/packages/entry/src/borageramp_entry/_internal/main.py
+++ b/packages/entry/src/borageramp_entry/_internal/main.py
@@ -4,12 +4,10 @@
 import os
 import signal
 import sys
-from pathlib import Path
 from typing import Any
 
-import defopt
-
 from borageramp_core import SettingsError
+from borageramp_entry._internal.arguments import parse_arguments
 from borageramp_entry._internal.logs import configure_logs, get_logger
 from borageramp_settings import EntrySettings, load_entry_settings
 
@@ -21,54 +19,20 @@
 _log = get_logger(__name__)
 
 
-def borageramp_entry(
-    settings: Path,
-    *,
-    name: str | None = None,
-    data_centre: str | None = None,
-    caller_address: str | None = None,
-    operator_address: str | None = None,
-    peer_address: str | None = None,
-    log_level: str = "info",
-) -> None:
-    """Run an entry of borageramp until SIGTERM.
-
-    A second SIGTERM ends it at once.
-
-    Parameters
-    ----------
-    settings
-        YAML file with the settings of the process.
-    name
-        Name of the instance, in place of the file's.
-    data_centre
-        Data centre, in place of the file's.
-    caller_address
-        Where callers connect, in place of the file's.
-    operator_address
-        Where operators connect, in place of the file's.
-    peer_address
-        Where other entries connect, in place of the file's.
-    log_level
-        Lowest level that is logged.
-    """
-    flags = {
-        "name": name,
-        "data_centre": data_centre,
-        "caller_address": caller_address,
-        "operator_address": operator_address,
-        "peer_address": peer_address,
-    }
-    given: dict[str, object] = {k: v for k, v in flags.items() if v is not None}
+def main() -> None:
+    """Run the command."""
+    arguments = parse_arguments()
     try:
-        checked = load_entry_settings(settings, given)
+        checked = load_entry_settings(arguments.settings, arguments.overrides)
     except OSError as error:
-        _fail(f"{settings}: {error.strerror}")
+        _fail(f"{arguments.settings}: {error.strerror}")
     except SettingsError as error:
         for fault in error.faults:
-            print(f"{settings}: {fault.path}: {fault.problem}", file=sys.stderr)
+            print(
+                f"{arguments.settings}: {fault.path}: {fault.problem}", file=sys.stderr
+            )
         sys.exit(EXIT_SETTINGS)
-    configure_logs(log_level)
+    configure_logs(arguments.log_level)
     _run(checked)
 
 
@@ -126,8 +90,3 @@
 
     app = EntryApp(settings=settings, reactor=reactor)
     await app.run(stop)
-
-
-def main() -> None:
-    """Run the command."""
-    defopt.run(borageramp_entry)
