Reach upstreams by number in probes too

Cause: found while looking for memory: an idle entry had a thread of the reactor's pool. The probes' agent used twisted's default endpoints, which ask a resolver in threads for each address, IP numbers included; and they built the URL of an IPv6 upstream without brackets, which is no valid URL.

Change: probes use the endpoints of requests, in a module of their own. Resource() in place of Resource.create(), which starts a pool of threads to search all packages for detectors.

--- a/packages/bench/src/borageramp_bench/links.py
+++ b/packages/bench/src/borageramp_bench/links.py
@@ -136,5 +136,13 @@
 
     def close(self) -> None:
         """End the forwarders."""
+        asyncio.run_coroutine_threadsafe(self._end(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
+        self._loop.close()
+
+    async def _end(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/entry/src/borageramp_entry/_internal/metrics.py
+++ b/packages/entry/src/borageramp_entry/_internal/metrics.py
@@ -21,7 +21,8 @@
     """
 
     def __init__(self, *, name: str, data_centre: str) -> None:
-        resource = Resource.create(
+        # Not Resource.create: it searches all installed packages for detectors.
+        resource = Resource(
             {"service.name": "borageramp-entry", "service.instance.id": name}
         )
         provider = MeterProvider(
--- a/packages/entry/src/borageramp_entry/_internal/serving/probing.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/probing.py
@@ -20,6 +20,10 @@
     Upstream,
 )
 from borageramp_entry._internal.reporting import Reporter
+from borageramp_entry._internal.serving.endpoints import (
+    EndpointFactory,
+    upstream_url,
+)
 from borageramp_entry._internal.serving.placement import PlacementTask
 
 __all__ = ["ProbeTask", "parse_health"]
@@ -79,7 +83,8 @@
         reporter: Reporter,
         clock: Callable[[], float],
     ) -> None:
-        self._agent = Agent(reactor, connectTimeout=TIMEOUT_S)
+        factory = EndpointFactory(reactor=reactor, connect_timeout_s=TIMEOUT_S)
+        self._agent = Agent.usingEndpointFactory(reactor, factory)
         self._snapshot = snapshot
         self._ownership = ownership
         self._tasks = tasks
@@ -159,7 +164,7 @@
         probe.add_done_callback(self._running.discard)
 
     async def _probe(self, task: PlacementTask, upstream: Upstream) -> None:
-        url = f"http://{upstream.host}:{upstream.port}{HEALTH_PATH}".encode()
+        url = upstream_url(upstream, HEALTH_PATH)
         loop = asyncio.get_running_loop()
         try:
             asked = self._agent.request(b"GET", url).asFuture(loop)
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -7,9 +7,8 @@
 from typing import Any, cast
 
 from twisted.internet import defer, protocol
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError
-from twisted.internet.interfaces import IReactorTime, IStreamClientEndpoint
+from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
 from twisted.web.client import (
     Agent,
@@ -19,10 +18,12 @@
 )
 from twisted.web.client import FileBodyProducer as _FileBodyProducer
 from twisted.web.http_headers import Headers as HttpHeaders
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer
 
 from borageramp_core import LoadReport, Result, Upstream
+from borageramp_entry._internal.serving.endpoints import (
+    EndpointFactory,
+    upstream_url,
+)
 from borageramp_entry._internal.serving.reports import parse_report
 from borageramp_entry._internal.serving.requests import AnswerHead, CallerRequest
 
@@ -170,46 +171,6 @@
         self._body.abort()
 
 
-@implementer(IStreamClientEndpoint)
-class _NoDelayEndpoint:
-    """An endpoint whose connections send small requests at once."""
-
-    def __init__(self, endpoint: TCP4ClientEndpoint | TCP6ClientEndpoint) -> None:
-        self._endpoint = endpoint
-
-    def connect(self, factory: Any) -> "defer.Deferred[Any]":
-        connected = self._endpoint.connect(factory)
-        return connected.addCallback(_set_no_delay)
-
-
-def _set_no_delay(connection: Any) -> Any:
-    connection.transport.setTcpNoDelay(True)
-    return connection
-
-
-@implementer(IAgentEndpointFactory)
-class _EndpointFactory:
-    """Makes the endpoints of upstreams.
-
-    Parameters
-    ----------
-    reactor : object
-        The running reactor.
-    connect_timeout_s : float
-        Time for opening a connection.
-    """
-
-    def __init__(self, *, reactor: Any, connect_timeout_s: float) -> None:
-        self._reactor = reactor
-        self._connect_timeout_s = connect_timeout_s
-
-    def endpointForURI(self, uri: Any) -> _NoDelayEndpoint:
-        host = uri.host.decode()
-        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        endpoint = kind(self._reactor, host, uri.port, timeout=self._connect_timeout_s)
-        return _NoDelayEndpoint(endpoint)
-
-
 class UpstreamClient:
     """Sends requests to upstreams over pooled connections.
 
@@ -231,7 +192,7 @@
     def _agent(self, connect_timeout_s: float, *, fresh: bool) -> Agent:
         agent = self._agents.get((connect_timeout_s, fresh))
         if agent is None:
-            factory = _EndpointFactory(
+            factory = EndpointFactory(
                 reactor=self._reactor, connect_timeout_s=connect_timeout_s
             )
             pool = None if fresh else self._pool
@@ -279,7 +240,7 @@
         agent = self._agent(connect_timeout_s, fresh=bool(request.key))
         deferred = agent.request(
             request.method.encode(),
-            f"http://{_netloc(upstream)}{request.path}".encode(),
+            upstream_url(upstream, request.path),
             headers,
             _producer(request.body),
         )
@@ -329,11 +290,6 @@
     body.abort()
 
 
-def _netloc(upstream: Upstream) -> str:
-    host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
-    return f"{host}:{upstream.port}"
-
-
 def _producer(body: bytes) -> Any:
     if not body:
         return None
