Have copies of a suspect wait instead of refusing them

Cause: found by thinking it through: a read that many callers send is one suspect by its fingerprint. After a death under it, all its copies but one would have been refused until the first was answered, though nothing is wrong with them.

Change: they wait, aside from the queue's order, until an answer clears them or a second death condemns them.

--- a/packages/core/src/borageramp_core/_internal/balancer.py
+++ b/packages/core/src/borageramp_core/_internal/balancer.py
@@ -152,13 +152,13 @@
             return refusals.condemned(request)
         if request.deadline_s <= now_s:
             return refusals.deadline_passed(request)
-        if self.isolation.runs_already(request, now_s=now_s):
-            return refusals.suspect_running(request)
         return None
 
     def _place(
         self, request: Submit, *, now_s: float
     ) -> Placed | PassOn | Queued | Refused:
+        if self.isolation.runs_already(request, now_s=now_s):
+            return Queued(request=request, position=len(self.queue))
         found = self.eligibility.find(request, now_s=now_s)
         self.limit.set_ceiling(found.slots, entries=self.eligibility.entries)
         urgent = request.class_name in self.service.policy.urgent_classes
--- a/packages/core/src/borageramp_core/_internal/reasons.py
+++ b/packages/core/src/borageramp_core/_internal/reasons.py
@@ -33,5 +33,4 @@
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SHED = "upstream_shed"
     CRASHES_UPSTREAMS = "crashes_upstreams"
-    SUSPECT_RUNNING = "suspect_running"
     INTERNAL = "internal"
--- a/packages/core/src/borageramp_core/_internal/refusals.py
+++ b/packages/core/src/borageramp_core/_internal/refusals.py
@@ -10,11 +10,9 @@
     "deadline_unreachable",
     "no_upstream",
     "queue_full",
-    "suspect_running",
 ]
 
 MIN_RETRY_AFTER_S = 0.05
-SUSPECT_RETRY_AFTER_S = 0.5
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
 
 
@@ -28,16 +26,6 @@
     )
 
 
-def suspect_running(request: Submit) -> Refused:
-    """Refuse a copy of a suspect that has a try under way."""
-    return Refused(
-        request=request,
-        reason=Reason.SUSPECT_RUNNING,
-        detail="an upstream died under this request, and it runs already",
-        retry_after_s=SUSPECT_RETRY_AFTER_S,
-    )
-
-
 def no_upstream(request: Submit, *, why: str) -> Refused:
     """Refuse a request that no upstream may take."""
     return Refused(
