--- a/packages/core/src/borageramp_core/_internal/warmup.py
+++ b/packages/core/src/borageramp_core/_internal/warmup.py
@@ -59,22 +59,22 @@
 
     Notes
     -----
-    A state's time says when it was seen, by the clock of who holds it. Words
-    of peers arrive late by an unknown time, so that two states may stand in
+    A state's time says when it was seen, by the clock of who holds it.
+    Heartbeats arrive late by an unknown time, so that two states may stand in
     the wrong order. The rules are made so that the views agree in the end:
 
     - Being warm dates from when the answer that shows it was asked for, so
       that it never looks later than it was.
-    - An entry that doesn't accept a peer's word that an upstream is warm
-      repeats its own word to the contrary. Whoever holds the upstream for
+    - An entry that doesn't accept a peer's state of a warm upstream repeats
+      its own. Whoever holds the upstream for
       warm then says so anew with the next answer, and that is later.
     """
 
     # An idle gap counts as work only up to this, so that an upstream with
     # one request a minute does not pass for warm.
     MAX_STEP_S = 0.5
-    # Words are late by no more than this, or get repeated until they are not.
-    LATE_WORD_S = 1.0
+    # Heartbeats are late by no more than this, or repeat until they are not.
+    MAX_DELAY_S = 1.0
 
     def __init__(self) -> None:
         self._states: dict[str, WarmState] = {}
@@ -259,9 +259,9 @@
         return True
 
     def _outdated_s(self, state: WarmState, start_id: str) -> float:
-        """Return up to when a word on a start is older than what is known."""
+        """Return up to when a peer's state is older than what is known."""
         same_start = state.start_id in ("", start_id)
-        return state.since_s + (0.0 if same_start else self.LATE_WORD_S)
+        return state.since_s + (0.0 if same_start else self.MAX_DELAY_S)
 
     def forget(self, upstream_id: str) -> None:
         """Drop the state of an upstream, which is cold when it returns."""
--- a/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dispatcher.py
@@ -298,7 +298,7 @@
         )
         if isinstance(following, Retry):
             if result is Result.DIED:
-                await self._let_words_arrive()
+                await self._await_heartbeats()
             return self._retry(following, failed.upstream, result)
         raise RefusedError(
             verdict=following.verdict,
@@ -307,10 +307,10 @@
             retry_after_s=MIN_RETRY_AFTER_S,
         )
 
-    async def _let_words_arrive(self) -> None:
+    async def _await_heartbeats(self) -> None:
         """Wait until peers may have told which suspects they run, and where.
 
-        They notice a death at about the same time. Without their word this
+        They notice a death at about the same time. Without knowing that, this
         request could run beside the one that killed the upstream.
         """
         left_s = self._request.deadline_s - self._parts.clock()
--- a/tests/unit/test_isolation.py
+++ b/tests/unit/test_isolation.py
@@ -59,7 +59,7 @@
     assert place(make_pair(suspects), "other") in ("u1", "u2")
 
 
-def test_word_of_a_peer_ends_with_its_next_word_or_with_time() -> None:
+def test_tries_of_a_peer_end_with_its_next_heartbeat_or_with_time() -> None:
     suspects = make_suspects("innocent")
     hear(suspects, ("hedged", "u1"), ("third", "u2"))
     assert place(make_pair(suspects), "innocent") == "Queued"
--- a/tests/unit/test_warm_word.py
+++ b/tests/unit/test_warm_state_exchange.py
@@ -96,10 +96,10 @@
     return warmup
 
 
-def test_word_of_a_doubt_that_comes_late_does_not_outlive_the_doubt() -> None:
+def test_doubt_that_is_heard_late_does_not_outlive_its_end() -> None:
     owner, peer = make_warm(), make_warm()
     owner.doubt(UPSTREAM, now_s=10.0)
-    # The peer is busy: it takes the word in 0.4 s after it was said.
+    # The peer is busy: it takes the heartbeat in 0.4 s after it was sent.
     tell(owner, peer, said_at_s=10.0, heard_at_s=10.4)
     answer(owner, "first", sent_at_s=10.05)
     settle(owner, peer, "first", from_s=10.5)
@@ -124,7 +124,7 @@
     assert peer.is_warm(UPSTREAM)
 
 
-def test_word_of_a_dead_start_does_not_warm_the_next_one() -> None:
+def test_late_state_of_a_dead_start_does_not_warm_the_next_one() -> None:
     late, peer = make_warm(), make_warm()
     answer(peer, "second", sent_at_s=10.0)
     # An answer of the dead start, sent for before, is taken in only now.
@@ -151,7 +151,7 @@
 
 
 class Play:
-    """Three views of one upstream, and words under way between them.
+    """Three views of one upstream, and heartbeats under way between them.
 
     Parameters
     ----------
@@ -163,7 +163,7 @@
         self.views = [make_warm(start_id="start 0") for _ in range(3)]
         self._restarts = restarts
         self._events: list[tuple[float, int, str, tuple[int, int]]] = []
-        self._words: dict[int, list[Mark]] = {}
+        self._beats: dict[int, list[Mark]] = {}
         self._sent: dict[int, tuple[str, float]] = {}
         self._warmed = {"start 0"}
         self._count = 0
@@ -195,9 +195,9 @@
                 )
             elif kind == "say":
                 heard = self.add(at_s + late_s, "hear", who, other)
-                self._words[heard] = say(self.views[who], now_s=at_s)
+                self._beats[heard] = say(self.views[who], now_s=at_s)
             elif kind == "hear":
-                hear(self.views[other], self._words[number], now_s=at_s)
+                hear(self.views[other], self._beats[number], now_s=at_s)
             self._check(at_s)
 
     def _check(self, at_s: float) -> None:
