--- a/packages/core/src/borageramp_core/__init__.py
+++ b/packages/core/src/borageramp_core/__init__.py
@@ -27,6 +27,8 @@
     BorageRampError,
     ConfigurationConflictError,
     ConfigurationInvalidError,
+    HistoryLostError,
+    LeaseLostError,
     OutcomeUnknownError,
     RefusedError,
     SettingsError,
@@ -66,7 +68,11 @@
     Upstream,
 )
 from borageramp_core._internal.outliers import Outliers
-from borageramp_core._internal.ownership import Ownership, rendezvous_owner
+from borageramp_core._internal.ownership import (
+    Ownership,
+    rendezvous_order,
+    rendezvous_owner,
+)
 from borageramp_core._internal.peer_tries import PeerTries, SuspectTry
 from borageramp_core._internal.placement import (
     Candidate,
@@ -103,17 +109,19 @@
     "DecisionLog",
     "Finished",
     "GiveUp",
+    "HistoryLostError",
     "Join",
     "KeptAnswer",
     "LatencyWindow",
+    "LeaseLostError",
     "LeastEstimate",
     "Lifecycle",
     "ListedEntry",
     "LoadReport",
     "Member",
     "Membership",
-    "Outliers",
     "OutcomeUnknownError",
+    "Outliers",
     "Ownership",
     "PassOn",
     "PeerTries",
@@ -123,8 +131,8 @@
     "Queued",
     "RatioBudget",
     "Reason",
-    "RefusedError",
     "Refused",
+    "RefusedError",
     "Reject",
     "Repair",
     "Replay",
@@ -158,5 +166,6 @@
     "key_prefix",
     "parse_key",
     "plain_key_id",
+    "rendezvous_order",
     "rendezvous_owner",
 ]
--- a/packages/core/src/borageramp_core/_internal/budget.py
+++ b/packages/core/src/borageramp_core/_internal/budget.py
@@ -16,13 +16,13 @@
 
     def __init__(self, *, ratio: float, burst: float = 10.0) -> None:
         self.ratio = ratio
-        self._burst = burst
+        self.burst = burst
         self._saved = 0.0
         self.spent = 0
 
     def earn(self) -> None:
         """Count a first try."""
-        self._saved = min(self._burst, self._saved + self.ratio)
+        self._saved = min(self.burst, self._saved + self.ratio)
 
     def spend(self) -> bool:
         """Take one extra try; tell whether the budget allowed it."""
@@ -55,16 +55,20 @@
 
     def __init__(self, *, rate_hz: float, burst: float, now_s: float) -> None:
         self.rate_hz = rate_hz
-        self._burst = burst
+        self.burst = burst
         self._tokens = 0.0
         self._filled_at_s = now_s
 
     def take(self, *, now_s: float) -> bool:
         """Take one event; tell whether the rate allowed it."""
-        gained = (now_s - self._filled_at_s) * self.rate_hz
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._filled_at_s = now_s
-        if self._tokens < 1.0:
+        if not self.has_token(now_s=now_s):
             return False
         self._tokens -= 1.0
         return True
+
+    def has_token(self, *, now_s: float) -> bool:
+        """Tell whether the rate allows an event now."""
+        gained = (now_s - self._filled_at_s) * self.rate_hz
+        self._tokens = min(self.burst, self._tokens + gained)
+        self._filled_at_s = now_s
+        return self._tokens >= 1.0
--- a/packages/core/src/borageramp_core/_internal/errors.py
+++ b/packages/core/src/borageramp_core/_internal/errors.py
@@ -9,6 +9,8 @@
     "BorageRampError",
     "ConfigurationConflictError",
     "ConfigurationInvalidError",
+    "HistoryLostError",
+    "LeaseLostError",
     "OutcomeUnknownError",
     "RefusedError",
     "SettingsError",
@@ -129,3 +131,11 @@
 
 class OutcomeUnknownError(StoreError):
     """A write got no answer; it may or may not have taken effect."""
+
+
+class HistoryLostError(StoreError):
+    """The store has dropped the changes that a watch should go on from."""
+
+
+class LeaseLostError(StoreError):
+    """A lease has ended, and the items under it with it."""
--- a/packages/core/src/borageramp_core/_internal/messages.py
+++ b/packages/core/src/borageramp_core/_internal/messages.py
@@ -35,12 +35,18 @@
         Identifier of its present start; empty if not given.
     leaving : bool
         Whether it wants no new work.
+    pace : float
+        How long work takes there at this moment, 1.0 for as usual.
+    warmup_left_s : float or None
+        Seconds for which it stays cold; ``None`` if not given.
     """
 
     in_flight: int
     slots: int = 0
     start_id: str = ""
     leaving: bool = False
+    pace: float = 1.0
+    warmup_left_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/borageramp_core/_internal/ownership.py
+++ b/packages/core/src/borageramp_core/_internal/ownership.py
@@ -15,7 +15,7 @@
 import hashlib
 from collections.abc import Iterable
 
-__all__ = ["Ownership", "rendezvous_owner"]
+__all__ = ["Ownership", "rendezvous_order", "rendezvous_owner"]
 
 
 def _weight(member: str, name: str) -> bytes:
@@ -40,6 +40,11 @@
     return max(members, key=lambda m: (_weight(m, name), m), default=None)
 
 
+def rendezvous_order(members: Iterable[str], name: str) -> list[str]:
+    """Return the members by their hash for a name, the highest first."""
+    return sorted(members, key=lambda m: (_weight(m, name), m), reverse=True)
+
+
 class Ownership:
     """The owners of upstreams, as one entry sees them.
 
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry that serves routes: routes, knowledge, choice, limits."""
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -0,0 +1,288 @@
+"""Which upstream of a service takes a request.
+
+Load and pace of upstreams shift within milliseconds, so an entry asks a few
+of them right before it places a request, and compares what they say. What
+it remembers of the others decides whom to ask.
+"""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+
+from borageramp_core._internal.load import UpstreamLoad
+from borageramp_core._internal.messages import LoadReport, Result
+from borageramp_core._internal.outliers import Outliers
+from borageramp_core._internal.routing.cold import ColdAllowance
+from borageramp_core._internal.routing.model import Registration, RoutedService
+from borageramp_core._internal.routing.state import UpstreamView, upstream_of
+
+__all__ = ["Chosen", "ServicePool", "Wanted"]
+
+# A report of this age is as good as a new one.
+FRESH_S = 0.03
+# Upstreams elsewhere cost bytes between data centres: near ones win ties.
+REMOTE_FACTOR = 1.15
+# How much an upstream's share of failures counts against it.
+FAILURE_FACTOR = 4.0
+# How much it counts against an upstream that its health endpoint says ill.
+ILL_FACTOR = 4.0
+# Spreads entries that remember the same over upstreams that look alike.
+JITTER = 0.25
+# Largest share of a service's upstreams that may be ejected at once.
+EJECT_MAX_SHARE = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wanted:
+    """A request that asks for an upstream.
+
+    Attributes
+    ----------
+    work_s : float
+        Time that it takes on an idle upstream.
+    left_s : float
+        Time until its answer is useless.
+    excluded : collection of str
+        Upstreams that have had it.
+    queue_slots : float
+        How far it may queue at an upstream, in multiples of its slots.
+    """
+
+    work_s: float
+    left_s: float
+    excluded: Collection[str] = ()
+    queue_slots: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Chosen:
+    """An upstream for a request, and why.
+
+    Attributes
+    ----------
+    view : UpstreamView
+        The upstream.
+    expected_s : float
+        Time to its answer.
+    candidates : int
+        Upstreams that were compared.
+    """
+
+    view: UpstreamView
+    expected_s: float
+    candidates: int
+
+
+class ServicePool:
+    """The upstreams of one service, as one entry sees them.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    data_centre : str
+        Where this entry runs.
+    cold : ColdAllowance
+        What this entry may send to cold upstreams.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self, *, name: str, data_centre: str, cold: ColdAllowance, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.views: dict[str, UpstreamView] = {}
+        self.outliers = Outliers(max_share=EJECT_MAX_SHARE)
+        self._data_centre = data_centre
+        self._cold = cold
+        self._rng = rng
+        self._out: Collection[str] = ()
+
+    def apply(
+        self,
+        registrations: Iterable[Registration],
+        *,
+        settings: RoutedService | None,
+        data_centres_out: Collection[str],
+        now_s: float,
+    ) -> list[str]:
+        """Take in the registered upstreams.
+
+        Returns
+        -------
+        list of str
+            Names of upstreams that are gone or started anew.
+        """
+        self._out = data_centres_out
+        ramp_hz = settings.ramp_hz if settings is not None else 0.0
+        before = self.views
+        self.views = {}
+        for registration in registrations:
+            known = before.get(registration.id)
+            if known is None or not _same_start(known.registration, registration):
+                known = _new_view(registration, now_s=now_s)
+            known.registration = registration
+            known.ramp_hz = ramp_hz
+            self.views[registration.id] = known
+        self.outliers.keep_only(v.upstream.id for v in self.views.values())
+        return [k for k, v in before.items() if self.views.get(k) is not v]
+
+    def _usable(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
+        if view.registration.leaving or view.elsewhere:
+            return False
+        if view.registration.data_centre in self._out:
+            return False
+        if view.registration.id in wanted.excluded:
+            return False
+        return not view.is_cold(now_s=now_s) or self._cold.has_room(
+            view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
+        )
+
+    def _sound(self, view: UpstreamView, *, now_s: float) -> bool:
+        if now_s < view.silent_until_s:
+            return False
+        return not self.outliers.is_ejected(view.upstream.id, now_s=now_s)
+
+    def usable(self, wanted: Wanted, *, now_s: float) -> list[UpstreamView]:
+        """Return the upstreams that may take a request.
+
+        Those that failed lately are left out as long as there are others.
+        """
+        usable = [
+            v for v in self.views.values() if self._usable(v, wanted, now_s=now_s)
+        ]
+        sound = [v for v in usable if self._sound(v, now_s=now_s)]
+        return sound or usable
+
+    def to_probe(
+        self, wanted: Wanted, *, count: int, now_s: float
+    ) -> list[UpstreamView]:
+        """Return the upstreams to ask before a request is placed.
+
+        Parameters
+        ----------
+        wanted : Wanted
+            The request.
+        count : int
+            Upstreams to ask at most.
+        now_s : float
+            Present time.
+        """
+        usable = self.usable(wanted, now_s=now_s)
+        if len(usable) <= count:
+            return usable
+        cost = self._costs(usable, wanted, now_s=now_s)
+        spread = {
+            v.registration.id: cost(v) * (1.0 + JITTER * self._rng.random())
+            for v in usable
+        }
+        usable.sort(key=lambda v: spread[v.registration.id])
+        # One at random keeps what is remembered of the others from ageing.
+        return [*usable[: count - 1], self._rng.choice(usable[count - 1 :])]
+
+    def choose(
+        self, wanted: Wanted, *, now_s: float, fresh_only: bool = False
+    ) -> Chosen | None:
+        """Choose the upstream with the least expected time to an answer.
+
+        Parameters
+        ----------
+        wanted : Wanted
+            The request.
+        now_s : float
+            Present time.
+        fresh_only : bool
+            Whether only upstreams that have just reported count.
+
+        Returns
+        -------
+        Chosen or None
+            ``None`` if no upstream has room for it.
+        """
+        usable = self.usable(wanted, now_s=now_s)
+        fresh = [v for v in usable if v.report_age_s(now_s=now_s) <= FRESH_S]
+        compared = fresh or ([] if fresh_only else usable)
+        if not compared:
+            return None
+        cost = self._costs(usable, wanted, now_s=now_s)
+        ranked = sorted(compared, key=lambda v: (cost(v), self._rng.random()))
+        for view in ranked:
+            if self._has_room(view, wanted, now_s=now_s):
+                expected_s = cost(view)
+                return Chosen(
+                    view=view, expected_s=expected_s, candidates=len(compared)
+                )
+        return None
+
+    def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
+        requests = view.load.estimate(usual_others=0.0, now_s=now_s)
+        return requests < view.load.slots * (1.0 + wanted.queue_slots)
+
+    def _costs(
+        self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
+    ) -> Callable[[UpstreamView], float]:
+        """Return the expected time to an answer, by upstream."""
+        number = max(1, len(views))
+        usual_pace = sum(v.pace for v in views) / number
+        usual_others = sum(v.load.others for v in views) / number
+
+        def cost(view: UpstreamView) -> float:
+            pace = view.expected_pace(usual=usual_pace, now_s=now_s)
+            requests = view.load.estimate(usual_others=usual_others, now_s=now_s)
+            expected_s = wanted.work_s * pace
+            expected_s *= max(1.0, (requests + 1.0) / view.load.slots)
+            success = self.outliers.state(view.upstream.id).success
+            expected_s *= 1.0 + FAILURE_FACTOR * (1.0 - success)
+            if view.ill:
+                expected_s *= ILL_FACTOR
+            if view.registration.data_centre != self._data_centre:
+                expected_s *= REMOTE_FACTOR
+            return expected_s
+
+        return cost
+
+    def start(self, view: UpstreamView, *, now_s: float) -> bool:
+        """Count a request to an upstream; tell whether it may still be sent."""
+        if view.is_cold(now_s=now_s) and not self._cold.take(
+            view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
+        ):
+            return False
+        view.load.in_flight += 1
+        return True
+
+    def finish(self, view: UpstreamView, result: Result, *, now_s: float) -> bool:
+        """Count the end of a request; tell whether the upstream was ejected."""
+        view.load.in_flight -= 1
+        name = view.upstream.id
+        if result is Result.ANSWERED:
+            self.outliers.on_success(name)
+            return False
+        if result is Result.CANCELLED:
+            return False
+        if result is Result.UNREACHABLE:
+            view.on_silence(now_s=now_s)
+        return self.outliers.on_failure(
+            view.upstream, service_size=len(self.views), now_s=now_s
+        )
+
+    def on_report(
+        self, view: UpstreamView, report: LoadReport, *, now_s: float
+    ) -> None:
+        """Take in what an upstream says of itself."""
+        view.on_report(report, now_s=now_s)
+
+
+def _same_start(known: Registration, new: Registration) -> bool:
+    same_place = (known.host, known.port) == (new.host, new.port)
+    return same_place and known.started_ms == new.started_ms
+
+
+def _new_view(registration: Registration, *, now_s: float) -> UpstreamView:
+    upstream = upstream_of(registration)
+    return UpstreamView(
+        registration=registration,
+        upstream=upstream,
+        load=UpstreamLoad(slots=upstream.slots),
+        cold_until_s=now_s + registration.warmup_left_s,
+    )
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/retry_after.py
@@ -0,0 +1,32 @@
+"""When a caller whose request was refused should come back."""
+
+import random
+
+__all__ = ["retry_after_s"]
+
+# Callers that come back at once find the same state.
+MIN_S = 0.05
+# Share by which times are spread, so that callers don't return together.
+SPREAD = 0.5
+
+
+def retry_after_s(
+    *, wait_s: float, rank: int, left_s: float, rng: random.Random
+) -> float:
+    """Return the time to tell a caller.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time after which there may be room again.
+    rank : int
+        Priority of the request; the higher ones return sooner.
+    left_s : float
+        Time until the caller's deadline.
+    rng : random.Random
+        Source of randomness.
+    """
+    base_s = max(MIN_S, wait_s) * (1.0 + 0.5 * rank)
+    spread_s = base_s * (1.0 + SPREAD * rng.random())
+    # A caller can't come back after a third of what it has left.
+    return min(spread_s, max(MIN_S, left_s / 3.0))
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/state.py
@@ -0,0 +1,101 @@
+"""What one entry knows of one upstream."""
+
+from dataclasses import dataclass, field
+
+from borageramp_core._internal.load import UpstreamLoad
+from borageramp_core._internal.messages import LoadReport
+from borageramp_core._internal.model import Upstream
+from borageramp_core._internal.routing.model import Registration
+
+__all__ = ["UpstreamView", "upstream_of"]
+
+# The pace of an upstream shifts many times a second; an old one says little.
+PACE_HALF_LIFE_S = 0.25
+# An ejection is short, as probes and the trial after it show what holds.
+EJECT_S = 1.5
+# An upstream that didn't answer a probe is passed over this long.
+SILENCE_PENALTY_S = 0.4
+
+
+def upstream_of(registration: Registration) -> Upstream:
+    """Return the upstream that a registration names."""
+    return Upstream(
+        name=registration.id,
+        service=registration.service,
+        data_centre=registration.data_centre,
+        host=registration.host,
+        port=registration.port,
+        slots=max(1, registration.slots),
+        eject_s=EJECT_S,
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class UpstreamView:
+    """Load, pace, warm-up and health of one upstream.
+
+    Attributes
+    ----------
+    registration : Registration
+        What it registered.
+    upstream : Upstream
+        Its name and address.
+    load : UpstreamLoad
+        Own requests and reported ones.
+    pace : float
+        How long work takes there, 1.0 for as usual.
+    pace_at_s : float
+        Time of that report.
+    cold_until_s : float
+        Time until which it is cold.
+    silent_until_s : float
+        Time until which it is passed over for its silence.
+    ill : bool
+        Whether its health endpoint said that it is not well.
+    elsewhere : bool
+        Whether its address turned out to belong to another upstream.
+    ramp_hz : float
+        Requests a second that it bears while cold, over all entries.
+    """
+
+    registration: Registration
+    upstream: Upstream
+    load: UpstreamLoad
+    pace: float = 1.0
+    pace_at_s: float = float("-inf")
+    cold_until_s: float = float("-inf")
+    silent_until_s: float = float("-inf")
+    ill: bool = False
+    elsewhere: bool = False
+    ramp_hz: float = field(default=0.0)
+
+    def is_cold(self, *, now_s: float) -> bool:
+        """Tell whether it bears only a low rate."""
+        return now_s < self.cold_until_s
+
+    def report_age_s(self, *, now_s: float) -> float:
+        """Return the age of the last report."""
+        return now_s - self.pace_at_s
+
+    def expected_pace(self, *, usual: float, now_s: float) -> float:
+        """Return the pace to expect, which tends to the usual one."""
+        age_s = self.report_age_s(now_s=now_s)
+        trust = 0.5 ** min(64.0, age_s / PACE_HALF_LIFE_S)
+        return trust * self.pace + (1.0 - trust) * usual
+
+    def on_report(self, report: LoadReport, *, now_s: float) -> None:
+        """Take in what the upstream says of itself."""
+        if report.start_id and report.start_id != self.registration.id:
+            self.elsewhere = True
+            return
+        self.elsewhere = False
+        self.silent_until_s = float("-inf")
+        self.load.on_report(report, now_s=now_s)
+        self.pace = report.pace
+        self.pace_at_s = now_s
+        if report.warmup_left_s is not None:
+            self.cold_until_s = now_s + report.warmup_left_s
+
+    def on_silence(self, *, now_s: float) -> None:
+        """Take in that the upstream did not answer a probe."""
+        self.silent_until_s = now_s + SILENCE_PENALTY_S
--- /dev/null
+++ b/packages/core/src/borageramp_core/routing.py
@@ -0,0 +1,45 @@
+"""Decisions of an entry that serves routes, without input or output."""
+
+from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
+from borageramp_core._internal.routing.model import (
+    CallerLimits,
+    DataCentreOut,
+    Fact,
+    Instance,
+    Registration,
+    Route,
+    RoutedService,
+    RoutingConfig,
+    ServiceShare,
+    Unreadable,
+)
+from borageramp_core._internal.routing.pool import Chosen, ServicePool, Wanted
+from borageramp_core._internal.routing.retry_after import retry_after_s
+from borageramp_core._internal.routing.state import UpstreamView
+from borageramp_core._internal.routing.table import RouteTable, choose_service
+from borageramp_core._internal.routing.work import WorkEstimate
+from borageramp_core._internal.routing.world import World
+
+__all__ = [
+    "CallerLimits",
+    "Chosen",
+    "ColdAllowance",
+    "ColdBounds",
+    "DataCentreOut",
+    "Fact",
+    "Instance",
+    "Registration",
+    "Route",
+    "RouteTable",
+    "RoutedService",
+    "RoutingConfig",
+    "ServicePool",
+    "ServiceShare",
+    "Unreadable",
+    "UpstreamView",
+    "Wanted",
+    "WorkEstimate",
+    "World",
+    "choose_service",
+    "retry_after_s",
+]
--- a/packages/entry/src/borageramp_entry/_internal/logs.py
+++ b/packages/entry/src/borageramp_entry/_internal/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs, one JSON object a line on standard error."""
+"""Structured logs, one JSON object a line."""
 
 import logging
 import sys
@@ -9,13 +9,15 @@
 __all__ = ["configure_logs", "get_logger"]
 
 
-def configure_logs(level: str = "info") -> None:
+def configure_logs(level: str = "info", *, output: Any = None) -> None:
     """Set up logging for this process.
 
     Parameters
     ----------
     level : str
         Lowest level that is written, such as ``"info"``.
+    output : file-like, optional
+        Where lines go; by default standard error.
     """
     structlog.configure(
         processors=[
@@ -28,7 +30,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=output or sys.stderr),
         cache_logger_on_first_use=True,
     )
 
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -0,0 +1,286 @@
+"""Assembly of an entry that serves routes."""
+
+import asyncio
+import random
+import uuid
+from typing import Any, cast
+
+from twisted.internet.interfaces import IListeningPort
+from twisted.web.server import Site
+
+from borageramp_core.routing import (
+    ColdAllowance,
+    ColdBounds,
+    Fact,
+    Instance,
+    UpstreamView,
+)
+from borageramp_entry._internal.addresses import split_address
+from borageramp_entry._internal.border.http import DrainingSite
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.metrics import Metrics
+from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
+from borageramp_entry._internal.routed.front import FrontResource, FrontSite
+from borageramp_entry._internal.routed.instances import InstanceList
+from borageramp_entry._internal.routed.knowledge import KnowledgeTask
+from borageramp_entry._internal.routed.listing import ListingTask
+from borageramp_entry._internal.routed.pages import (
+    DirectoryResource,
+    MetricsResource,
+    ReadinessResource,
+)
+from borageramp_entry._internal.routed.pools import Pools
+from borageramp_entry._internal.routed.ports import Platform
+from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.routed.records import unpack_instance
+from borageramp_entry._internal.serving.upstreams import UpstreamClient
+from borageramp_entry._internal.store.base import Item
+
+__all__ = ["RoutedApp"]
+
+_log = get_logger(__name__)
+
+BACKLOG = 512
+# Idle connections to upstreams are closed before most upstreams do so.
+UPSTREAM_IDLE_S = 8.0
+STOP_STEP_S = 0.05
+
+
+class RoutedApp:
+    """One entry that serves routes.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform that it runs on.
+    reactor : object
+        The running reactor.
+    """
+
+    def __init__(self, *, platform: Platform, reactor: Any) -> None:
+        self._platform = platform
+        self._reactor = reactor
+        self._settings = platform.load_settings()
+        self._clock = asyncio.get_running_loop().time
+        self._rng = random.Random()
+        self._closing = False
+        self._background: list[asyncio.Task[None]] = []
+        settings = self._settings
+        self._own = Instance(
+            name=settings.name,
+            incarnation=uuid.uuid4().hex[:12],
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+            check_address=settings.check_address or settings.caller_address,
+        )
+        self._metrics = Metrics(name=settings.name, data_centre=settings.data_centre)
+        self._store = platform.open_store(settings, reactor=reactor)
+        self._build_knowledge()
+        self._build_serving()
+        self._add_gauges()
+
+    def _build_knowledge(self) -> None:
+        settings = self._settings
+        self._knowledge = KnowledgeTask(
+            store=self._store,
+            prefix=self._platform.watched_prefix,
+            read_item=self._read_item,
+            rejoin_s=settings.rejoin_s,
+            on_change=self._on_change,
+            rng=self._rng,
+            clock=self._clock,
+        )
+        self._listing = ListingTask(
+            store=self._store,
+            instance=self._own,
+            lease_s=settings.lease_s,
+            ready=self._ready,
+        )
+        self._instances = InstanceList(
+            own=self._own,
+            reactor=self._reactor,
+            ready_path=self._platform.directory.ready_path,
+            knowledge_age_s=self._knowledge.age_s,
+            rng=self._rng,
+        )
+
+    def _build_serving(self) -> None:
+        bounds = self._settings.bounds
+        self._client = UpstreamClient(
+            reactor=self._reactor,
+            dialect=self._platform.upstreams,
+            idle_s=UPSTREAM_IDLE_S,
+        )
+        cold = ColdAllowance(
+            member=self._own.name,
+            bounds=ColdBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
+        )
+        self._pools = Pools(
+            data_centre=self._own.data_centre,
+            bounds=bounds,
+            cold=cold,
+            on_gone=self._on_upstream_gone,
+            rng=self._rng,
+        )
+        self._prober = Prober(
+            client=self._client,
+            pools=self._pools,
+            health_path=self._health_path,
+            clock=self._clock,
+        )
+        dispatcher = RoutedDispatcher(
+            pools=self._pools,
+            prober=self._prober,
+            client=self._client,
+            rng=self._rng,
+            clock=self._clock,
+        )
+        self._front = FrontResource(
+            world=self._knowledge.world,
+            dispatcher=dispatcher,
+            dialect=self._platform.callers,
+            metrics=self._metrics,
+            closing=lambda: self._closing,
+            rng=self._rng,
+            clock=self._clock,
+        )
+        self._site = FrontSite(self._front)
+
+    def _add_gauges(self) -> None:
+        gauge = self._metrics.gauge
+        gauge("borageramp_in_flight", "Requests under way.", self._in_flight)
+        gauge(
+            "borageramp_store_age",
+            "Seconds since the store last answered.",
+            self._knowledge.age_s,
+        )
+        gauge(
+            "borageramp_probes_sent", "Probes sent.", lambda: float(self._prober.sent)
+        )
+        gauge(
+            "borageramp_upstream_connections",
+            "Connections opened to upstreams.",
+            lambda: float(self._client.pool.opened),
+        )
+
+    def _in_flight(self) -> float:
+        return float(self._front.in_flight)
+
+    def _read_item(self, item: Item) -> Fact | None:
+        return unpack_instance(item) or self._platform.read_item(item)
+
+    def _health_path(self, service: str) -> str | None:
+        config = self._knowledge.world.config
+        settings = config.services.get(service) if config is not None else None
+        return settings.health_path if settings is not None else None
+
+    def _ready(self) -> bool:
+        return not self._closing and self._knowledge.world.config is not None
+
+    def _on_upstream_gone(self, view: UpstreamView) -> None:
+        self._client.pool.forget(view.upstream.host, view.upstream.port)
+        _log.info("upstream gone", upstream=view.registration.id)
+
+    def _on_change(self) -> None:
+        world = self._knowledge.world
+        self._instances.update(world.instances())
+        self._pools.apply(world, entries=self._instances.names(), now_s=self._clock())
+        if world.config is not None and world.config.limits != self._site.limits:
+            self._site.limits = world.config.limits
+        listed = {i.name for i in world.instances()}
+        if self._own.name not in listed and self._ready():
+            self._listing.on_removed()
+        _log.info(
+            "knowledge changed",
+            revision=world.revision,
+            config_version=world.config.version if world.config else None,
+            data_centres_out=sorted(world.data_centres_out()),
+            upstreams=self._pools.upstreams,
+            instances=len(listed),
+        )
+
+    def reload(self) -> None:
+        """Take over settings that may change while the process runs."""
+        try:
+            settings = self._platform.load_settings()
+        except Exception as error:
+            _log.error("settings not reloaded", error=repr(error))
+            return
+        self._settings = settings
+        self._pools.bounds = settings.bounds
+        self._pools.cold.bounds = ColdBounds(
+            overage=settings.bounds.cold_overage, slack=settings.bounds.cold_slack
+        )
+        _log.info("settings reloaded")
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then stop without cutting a request.
+
+        Parameters
+        ----------
+        stop : asyncio.Event
+            Set when the entry has to stop.
+        """
+        port = self._listen()
+        for work in (
+            self._knowledge.run(),
+            self._listing.run(),
+            self._instances.run(),
+        ):
+            self._background.append(asyncio.ensure_future(work))
+        _log.info("started", instance=self._own.name, incarnation=self._own.incarnation)
+        stopped = asyncio.ensure_future(stop.wait())
+        await asyncio.wait(
+            [stopped, *self._background], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in self._background:
+            if task.done():
+                task.result()
+        await self._stop(port)
+
+    def _listen(self) -> IListeningPort:
+        settings = self._settings
+        dialect = self._platform.directory
+        directory = DirectoryResource(
+            instances=self._instances,
+            ready=self._ready,
+            dialect=dialect,
+            ttl_s=lambda: self._settings.directory_ttl_s,
+            rng=self._rng,
+        )
+        readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
+        self._listen_at(settings.directory_address, DrainingSite(directory))
+        self._listen_at(settings.check_address, DrainingSite(readiness))
+        metrics = DrainingSite(MetricsResource(metrics=self._metrics))
+        self._listen_at(settings.metrics_address, metrics)
+        port = self._listen_at(settings.caller_address, self._site)
+        assert port is not None
+        return port
+
+    def _listen_at(self, address: str | None, site: Site) -> IListeningPort | None:
+        if address is None:
+            return None
+        host, number = split_address(address)
+        port: IListeningPort = self._reactor.listenTCP(
+            number, site, interface=host, backlog=BACKLOG
+        )
+        return port
+
+    async def _stop(self, port: IListeningPort) -> None:
+        started_at_s = self._clock()
+        self._closing = True
+        _log.info("stopping", in_flight=self._front.in_flight)
+        self._background[1].cancel()
+        withdrawing = asyncio.ensure_future(self._listing.withdraw())
+        # Callers keep their addresses for a while; until then they are served.
+        await asyncio.sleep(self._settings.leave_s)
+        cast(Any, port).stopListening()
+        until_s = started_at_s + self._settings.drain_s
+        while self._site.close_idle() and self._clock() < until_s:
+            await asyncio.sleep(STOP_STEP_S)
+        for task in (*self._background, withdrawing):
+            task.cancel()
+        await self._client.close()
+        self._store.close()
+        took_s = self._clock() - started_at_s
+        _log.info("stopped", in_flight=self._front.in_flight, took_s=round(took_s, 2))
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -0,0 +1,338 @@
+"""Takes a routed request to its answer: placement, tries, hedges."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from borageramp_core import (
+    Reason,
+    RefusedError,
+    Result,
+    Verdict,
+)
+from borageramp_core.routing import Chosen, Route, Wanted, retry_after_s
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.pools import Pools
+from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.routed.tries import RoutedAnswer, RoutedTry
+from borageramp_entry._internal.serving.requests import CallerRequest
+from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
+
+__all__ = ["RoutedDispatcher", "RoutedRequest"]
+
+_log = get_logger(__name__)
+
+# Upstreams asked before a try is placed.
+PROBES = 4
+# Longest wait for their answers, and for the first of them when all are late.
+PROBE_WAIT_S = 0.02
+# Share of the objective for which a request may wait for room.
+HOLD_SHARE = 0.25
+HOLD_STEP_S = 0.01
+# An upstream this close to an idle one of usual pace needs no comparison.
+GOOD_FACTOR = 1.3
+# Less time than this, in multiples of the work, is no use to another try.
+MIN_LEFT_SHARE = 0.7
+
+Running = asyncio.Task[RoutedAnswer]
+_ORDER = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutedRequest:
+    """A request with the route that it takes.
+
+    Attributes
+    ----------
+    caller : CallerRequest
+        The request; its deadline is the earlier of the caller's and the
+        route's.
+    route : Route
+        The route.
+    arrived_at_s : float
+        Time of its arrival.
+    """
+
+    caller: CallerRequest
+    route: Route
+    arrived_at_s: float
+
+
+class RoutedDispatcher:
+    """Dispatches routed requests to upstreams.
+
+    Parameters
+    ----------
+    pools : Pools
+        All upstreams.
+    prober : Prober
+        Asks upstreams for their load.
+    client : UpstreamClient
+        Connections to upstreams.
+    rng : random.Random
+        Source of randomness.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        pools: Pools,
+        prober: Prober,
+        client: UpstreamClient,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.pools = pools
+        self.prober = prober
+        self.client = client
+        self.rng = rng
+        self.clock = clock
+
+    async def run(self, request: RoutedRequest) -> RoutedAnswer:
+        """Return the answer to a request.
+
+        Raises
+        ------
+        RefusedError
+            If there is none.
+        """
+        run = _Run(self, request)
+        try:
+            return await run.to_end()
+        finally:
+            run.cancel()
+
+
+class _Run:
+    """One request on its way."""
+
+    def __init__(self, parts: RoutedDispatcher, request: RoutedRequest) -> None:
+        self._parts = parts
+        self._request = request
+        self._caller = request.caller
+        self._route = request.route
+        self._pool = parts.pools.pool(request.caller.service)
+        self._repeats = parts.pools.repeats(request.caller.service)
+        self._work = parts.pools.work(request.route)
+        self._open: dict[Running, RoutedTry] = {}
+        self._excluded: set[str] = set()
+        self._runs = 0
+        self._verdict = Verdict.NOT_RUN
+        self._last = Result.UNREACHABLE
+        self._failure: RoutedAnswer | None = None
+        self._repeats.earn()
+
+    @property
+    def _left_s(self) -> float:
+        return self._caller.deadline_s - self._parts.clock()
+
+    def cancel(self) -> None:
+        """Cancel what is under way."""
+        for task in self._open:
+            task.cancel()
+        self._open.clear()
+
+    async def to_end(self) -> RoutedAnswer:
+        hold_s = HOLD_SHARE * self._route.objective_s
+        chosen = await self._place(hold_s=hold_s)
+        if chosen is None:
+            raise self._no_room()
+        self._start(chosen)
+        while True:
+            done, _ = await asyncio.wait(
+                self._open,
+                timeout=self._wait_s(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answer = self._take(done)
+            if answer is not None:
+                return answer
+            if self._left_s <= 0:
+                raise self._given_up(Reason.DEADLINE_PASSED)
+            if (done or self._hedge_due()) and await self._start_another():
+                continue
+            if not self._open:
+                return self._end()
+
+    def _wait_s(self) -> float:
+        if not self._route.idempotent or len(self._open) != 1 or self._runs > 1:
+            return max(0.0, self._left_s)
+        (only,) = self._open.values()
+        return max(0.0, min(self._left_s, self._late_after_s() - only.elapsed_s))
+
+    def _late_after_s(self) -> float:
+        return self._work.late_s
+
+    def _hedge_due(self) -> bool:
+        if not self._route.idempotent or len(self._open) != 1:
+            return False
+        (only,) = self._open.values()
+        return only.elapsed_s >= self._late_after_s()
+
+    def _take(self, done: set[Running]) -> RoutedAnswer | None:
+        for task in done:
+            ended = self._open.pop(task)
+            error = task.exception()
+            if error is None:
+                answer = task.result()
+                if not answer.failed:
+                    self._log_end(ended, Result.ANSWERED)
+                    return answer
+                self._on_failed(ended, Result.ERROR)
+                self._failure = answer
+            elif isinstance(error, TryFailedError):
+                self._on_failed(ended, error.result)
+            else:
+                raise error
+        return None
+
+    def _on_failed(self, ended: RoutedTry, result: Result) -> None:
+        self._log_end(ended, result)
+        self._last = result
+        self._verdict = max(self._verdict, result.verdict, key=_ORDER.index)
+        if result.verdict is Verdict.NOT_RUN:
+            self._runs -= 1
+
+    def _log_end(self, ended: RoutedTry, result: Result) -> None:
+        _log.info(
+            "try ended",
+            request_id=self._caller.request_id,
+            upstream=ended.view.registration.id,
+            result=result.value,
+            took_ms=round(ended.elapsed_s * 1000, 1),
+        )
+
+    async def _start_another(self) -> bool:
+        """Start another try, if that is allowed and of use."""
+        if self._verdict is not Verdict.NOT_RUN and not self._route.idempotent:
+            return False
+        if self._runs >= self._route.max_runs:
+            return False
+        if self._left_s < MIN_LEFT_SHARE * self._work.mean_s:
+            return False
+        if not self._repeats.spend():
+            return False
+        chosen = await self._place(hold_s=0.0)
+        if chosen is None:
+            self._repeats.give_back()
+            return False
+        self._start(chosen)
+        return True
+
+    def _wanted(self) -> Wanted:
+        return Wanted(
+            work_s=self._work.mean_s,
+            left_s=self._left_s,
+            excluded=self._excluded,
+        )
+
+    async def _place(self, *, hold_s: float) -> Chosen | None:
+        """Choose an upstream; waits for room, within a time."""
+        until_s = self._parts.clock() + min(hold_s, self._left_s)
+        while True:
+            wanted = self._wanted()
+            views = self._pool.to_probe(wanted, count=PROBES, now_s=self._parts.clock())
+            await self._ask(self._parts.prober.start(views))
+            chosen = self._choose(wanted)
+            if chosen is not None:
+                return chosen
+            if self._parts.clock() >= until_s:
+                return None
+            await asyncio.sleep(HOLD_STEP_S)
+
+    def _choose(self, wanted: Wanted) -> Chosen | None:
+        now_s = self._parts.clock()
+        chosen = self._pool.choose(wanted, now_s=now_s, fresh_only=True)
+        if chosen is None and self._route.idempotent:
+            chosen = self._pool.choose(wanted, now_s=now_s)
+        if chosen is None or not self._pool.start(chosen.view, now_s=now_s):
+            return None
+        return chosen
+
+    async def _ask(self, probes: "list[asyncio.Task[None]]") -> None:
+        """Wait until one of the upstreams asked is good, or all have answered."""
+        until_s = self._parts.clock() + PROBE_WAIT_S
+        left = set(probes)
+        while left:
+            wait_s = until_s - self._parts.clock()
+            if wait_s <= 0:
+                return
+            _, left = await asyncio.wait(
+                left, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if left and self._is_good():
+                return
+
+    def _is_good(self) -> bool:
+        now_s = self._parts.clock()
+        best = self._pool.choose(self._wanted(), now_s=now_s, fresh_only=True)
+        return best is not None and best.expected_s <= GOOD_FACTOR * self._work.mean_s
+
+    def _start(self, chosen: Chosen) -> None:
+        started = RoutedTry(
+            chosen=chosen,
+            pool=self._pool,
+            work=self._work,
+            client=self._parts.client,
+            clock=self._parts.clock,
+        )
+        view = chosen.view
+        _log.info(
+            "placed",
+            request_id=self._caller.request_id,
+            upstream=view.registration.id,
+            try_number=len(self._excluded) + 1,
+            expected_ms=round(chosen.expected_s * 1000, 1),
+            pace=view.pace,
+            in_flight=view.load.in_flight,
+            others=view.load.others,
+            report_age_ms=_age_ms(view.report_age_s(now_s=self._parts.clock())),
+            candidates=chosen.candidates,
+        )
+        self._excluded.add(view.registration.id)
+        self._runs += 1
+        task = asyncio.ensure_future(started.run(self._caller))
+        self._open[task] = started
+
+    def _end(self) -> RoutedAnswer:
+        if self._failure is not None:
+            return self._failure
+        if self._verdict is Verdict.NOT_RUN:
+            raise self._no_room()
+        if self._last is Result.TIMED_OUT:
+            raise self._given_up(Reason.DEADLINE_PASSED)
+        raise self._given_up(Reason.UPSTREAM_FAILED)
+
+    def _given_up(self, reason: Reason) -> RefusedError:
+        verdict = self._verdict
+        if self._open:
+            verdict = Verdict.MAY_HAVE_RUN
+        return RefusedError(
+            verdict=verdict,
+            reason=reason,
+            detail=f"the last of {len(self._excluded)} tries ended as {self._last}",
+            retry_after_s=self._retry_after_s(),
+        )
+
+    def _no_room(self) -> RefusedError:
+        return RefusedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.OVERLOADED if self._pool.views else Reason.NO_UPSTREAM,
+            detail=f"no upstream of {self._pool.name} has room",
+            retry_after_s=self._retry_after_s(),
+        )
+
+    def _retry_after_s(self) -> float:
+        return retry_after_s(
+            wait_s=self._work.mean_s,
+            rank=self._route.rank,
+            left_s=self._left_s,
+            rng=self._parts.rng,
+        )
+
+
+def _age_ms(age_s: float) -> float | None:
+    return None if age_s == float("inf") else round(age_s * 1000, 1)
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -0,0 +1,307 @@
+"""The callers' port of an entry that serves routes."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, cast
+
+from twisted.web.server import Request
+
+from borageramp_core import Reason, RefusedError, Verdict
+from borageramp_core.routing import CallerLimits, Route, World, choose_service
+from borageramp_entry._internal.border.http import BoundedRequest, DrainingSite, Leaf
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.metrics import Metrics
+from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
+from borageramp_entry._internal.routed.ports import CallerDialect
+from borageramp_entry._internal.routed.tries import RoutedAnswer
+from borageramp_entry._internal.serving.requests import CallerRequest
+from borageramp_entry._internal.serving.upstreams import TryFailedError
+
+__all__ = ["FrontResource", "FrontSite"]
+
+_log = get_logger(__name__)
+
+# An instance that knows no configuration yet learns it within about this.
+NOT_READY_RETRY_S = 0.3
+DEFAULT_DEADLINE_S = 10.0
+
+
+class FrontSite(DrainingSite):
+    """A site with the operators' limits on callers."""
+
+    limits = CallerLimits()
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return a connection with the limits of now."""
+        # Connections idle a little longer than callers reuse them.
+        self.timeOut = self.limits.idle_timeout_s
+        wrapper = super().buildProtocol(addr)
+        channel = cast(Any, wrapper)
+        channel.totalHeadersSize = self.limits.max_header_bytes
+        channel.MAX_LENGTH = self.limits.max_header_bytes
+        return wrapper
+
+
+class FrontResource(Leaf):
+    """Serves requests by their routes.
+
+    Parameters
+    ----------
+    world : World
+        What is known.
+    dispatcher : RoutedDispatcher
+        Takes requests to their answers.
+    dialect : CallerDialect
+        Headers of callers.
+    metrics : Metrics
+        Instruments.
+    closing : callable
+        Tells whether this instance is stopping.
+    rng : random.Random
+        Source of randomness.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: World,
+        dispatcher: RoutedDispatcher,
+        dialect: CallerDialect,
+        metrics: Metrics,
+        closing: Callable[[], bool],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self._world = world
+        self._dispatcher = dispatcher
+        self._dialect = dialect
+        self._metrics = metrics
+        self._closing = closing
+        self._rng = rng
+        self._clock = clock
+        self.in_flight = 0
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        self.in_flight += 1
+        try:
+            await _Exchange(self, cast(BoundedRequest, request)).run()
+        finally:
+            self.in_flight -= 1
+
+    def routed(self, request: BoundedRequest, *, arrived_at_s: float) -> RoutedRequest:
+        """Return a request with its route.
+
+        Raises
+        ------
+        RefusedError
+            If there is none, or the request is not allowed.
+        """
+        route = self._route(request)
+        terms = self._dialect.read_terms(request.requestHeaders)
+        if not terms.request_id:
+            raise _refused(Reason.BAD_REQUEST, "the request has no identifier")
+        left_s = DEFAULT_DEADLINE_S if terms.deadline_s is None else terms.deadline_s
+        caller = CallerRequest(
+            request_id=terms.request_id,
+            service=choose_service(route, rng=self._rng),
+            class_name=route.name,
+            deadline_s=arrived_at_s + min(left_s, route.timeout_s),
+            method=request.method.decode("latin-1"),
+            path=request.uri.decode("latin-1"),
+            headers=self._dialect.forwarded(request.requestHeaders),
+            body=self._body(request),
+        )
+        return RoutedRequest(caller=caller, route=route, arrived_at_s=arrived_at_s)
+
+    def _route(self, request: BoundedRequest) -> Route:
+        if self._world.config is None:
+            raise RefusedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.NOT_SERVING,
+                detail="this instance has no configuration yet",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        host = request.getHeader("host") or ""
+        path = request.path.decode("latin-1")
+        route = self._world.table.match(host=host, path=path)
+        if route is None:
+            raise _refused(Reason.UNKNOWN_SERVICE, "no route matches the request")
+        return route
+
+    def _body(self, request: BoundedRequest) -> bytes:
+        limits = (
+            FrontSite.limits
+            if self._world.config is None
+            else (self._world.config.limits)
+        )
+        content = request.content
+        body: bytes = content.read() if content is not None else b""
+        if request.body_too_large or len(body) > limits.max_body_bytes:
+            raise _refused(Reason.BODY_TOO_LARGE, "the body is over its limit")
+        return body
+
+    async def dispatch(self, request: RoutedRequest) -> RoutedAnswer:
+        """Return the answer to a request."""
+        return await self._dispatcher.run(request)
+
+    @property
+    def dialect(self) -> CallerDialect:
+        """Headers of callers."""
+        return self._dialect
+
+    def is_closing(self) -> bool:
+        """Tell whether this instance is stopping."""
+        return self._closing()
+
+    def now_s(self) -> float:
+        """Return the present time."""
+        return self._clock()
+
+    def count(self, routed: RoutedRequest | None, outcome: str, took_s: float) -> None:
+        """Count a request that got its final answer."""
+        self._metrics.request(
+            service=routed.caller.service if routed else "",
+            class_name=routed.route.name if routed else "",
+            outcome=outcome,
+            duration_s=took_s,
+        )
+
+
+def _refused(reason: Reason, detail: str) -> RefusedError:
+    return RefusedError(verdict=Verdict.NOT_RUN, reason=reason, detail=detail)
+
+
+class _Exchange:
+    """One request of a caller, and its answer."""
+
+    def __init__(self, front: FrontResource, request: BoundedRequest) -> None:
+        self._front = front
+        self._request = request
+        self._arrived_at_s = front.now_s()
+        self._routed: RoutedRequest | None = None
+        self._id = ""
+        self._started = False
+        self._ready = asyncio.Event()
+        self._ready.set()
+
+    async def run(self) -> None:
+        outcome = "cancelled"
+        try:
+            outcome = await self._run()
+        except Exception as error:
+            outcome = Reason.INTERNAL.value
+            _log.error("internal error", request_id=self._id, exc_info=error)
+            self._fail()
+        finally:
+            took_s = self._front.now_s() - self._arrived_at_s
+            self._front.count(self._routed, outcome, took_s)
+            self._log_end(outcome, took_s)
+
+    def _log_end(self, outcome: str, took_s: float) -> None:
+        routed = self._routed
+        _log.info(
+            "request ended",
+            request_id=self._id,
+            outcome=outcome,
+            took_ms=round(took_s * 1000, 1),
+            route=routed.route.name if routed else None,
+            service=routed.caller.service if routed else None,
+        )
+
+    async def _run(self) -> str:
+        terms = self._front.dialect.read_terms(self._request.requestHeaders)
+        self._id = terms.request_id
+        try:
+            self._routed = self._front.routed(
+                self._request, arrived_at_s=self._arrived_at_s
+            )
+            answer = await self._front.dispatch(self._routed)
+        except RefusedError as error:
+            self._refuse(error)
+            return error.reason.value
+        return await self._deliver(answer)
+
+    async def _deliver(self, answer: RoutedAnswer) -> str:
+        head = answer.answer.head
+        self._start(head.status, head.headers)
+        if answer.whole:
+            length = str(len(answer.body)).encode()
+            self._request.setHeader(b"content-length", length)
+            self._request.write(answer.body)
+            self._request.finish()
+            return "failed" if answer.failed else "answered"
+        return await self._stream(answer)
+
+    async def _stream(self, answer: RoutedAnswer) -> str:
+        """Pass a large answer on as it arrives, no faster than it is read."""
+        self._request.registerProducer(cast(Any, self), True)
+        part = answer.body
+        try:
+            while part:
+                await self._ready.wait()
+                self._request.write(part)
+                part = await answer.answer.read(DEFAULT_DEADLINE_S)
+        except (TryFailedError, TimeoutError) as error:
+            _log.warning("answer cut short", request_id=self._id, error=repr(error))
+            self._fail()
+            return "cut_short"
+        except BaseException:
+            answer.answer.abort()
+            raise
+        self._request.unregisterProducer()
+        self._request.finish()
+        return "answered"
+
+    def pauseProducing(self) -> None:
+        self._ready.clear()
+
+    def resumeProducing(self) -> None:
+        self._ready.set()
+
+    def stopProducing(self) -> None:
+        self._ready.set()
+
+    def _start(self, status: int, headers: Any) -> None:
+        self._started = True
+        self._request.setResponseCode(status)
+        for name, value in headers:
+            self._request.responseHeaders.addRawHeader(name.encode(), value)
+        if self._front.is_closing():
+            self._request.setHeader(b"connection", b"close")
+            cast(Any, self._request.channel).persistent = False
+
+    def _refuse(self, error: RefusedError) -> None:
+        answer = self._front.dialect.refusal(error, request_id=self._id)
+        _log.info(
+            "refused",
+            request_id=self._id,
+            status=answer.status,
+            verdict=error.verdict.value,
+            reason=error.reason.value,
+            detail=error.detail,
+            retry_after_s=error.retry_after_s,
+        )
+        self._start(answer.status, answer.headers)
+        self._request.setHeader(b"content-length", str(len(answer.body)).encode())
+        self._request.write(answer.body)
+        self._request.finish()
+
+    def _fail(self) -> None:
+        """End a request that this program failed to serve."""
+        if not self._started:
+            self._refuse(
+                RefusedError(
+                    verdict=Verdict.MAY_HAVE_RUN,
+                    reason=Reason.INTERNAL,
+                    detail="the entry failed; its log has the cause",
+                )
+            )
+            return
+        transport = self._request.transport
+        if transport is not None:
+            transport.abortConnection()
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -0,0 +1,176 @@
+"""Follows the store, and keeps what it told."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from borageramp_core import HistoryLostError, StoreError
+from borageramp_core.routing import Fact, Registration, Unreadable, World
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.store.base import Change, Item, Store
+
+__all__ = ["KnowledgeTask"]
+
+_log = get_logger(__name__)
+
+# Changes come in groups; a short wait lets one call fetch a group.
+GATHER_S = 0.1
+# Pause after a failed call, with as much again at random.
+RETRY_S = 0.2
+# Without an answer for this long, the store counts as away.
+AWAY_S = 1.0
+
+
+class KnowledgeTask:
+    """Keeps the world up to date from the store.
+
+    Parameters
+    ----------
+    store : Store
+        The store.
+    prefix : str
+        Keys to follow.
+    read_item : callable
+        Reads an item; ``None`` if it is of no interest.
+    rejoin_s : float
+        Time after an outage within which upstreams register again.
+    on_change : callable
+        Called after each change of the world.
+    rng : random.Random
+        Source of randomness, which spreads calls.
+    clock : callable
+        Returns the present time in seconds.
+
+    Attributes
+    ----------
+    world : World
+        What is known.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        prefix: str,
+        read_item: Callable[[Item], Fact | None],
+        rejoin_s: float,
+        on_change: Callable[[], None],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.world = World()
+        self._store = store
+        self._prefix = prefix
+        self._read_item = read_item
+        self._rejoin_s = rejoin_s
+        self._on_change = on_change
+        self._rng = rng
+        self._clock = clock
+        self._heard_at_s = float("-inf")
+        self._returned_at_s = float("-inf")
+        self._reachable = True
+
+    def age_s(self) -> float:
+        """Return the time since the store last answered."""
+        return self._clock() - self._heard_at_s
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        whole = False
+        while True:
+            try:
+                if not whole:
+                    await self._read_all()
+                    whole = True
+                await self._follow()
+            except HistoryLostError:
+                _log.warning("store history lost", revision=self.world.revision)
+                whole = False
+            except StoreError as error:
+                self._on_failure(error)
+                await asyncio.sleep(RETRY_S * (1.0 + self._rng.random()))
+
+    def _on_failure(self, error: StoreError) -> None:
+        if self._reachable:
+            self._reachable = False
+            _log.warning("store lost", error=str(error), revision=self.world.revision)
+
+    def _on_answer(self) -> None:
+        now_s = self._clock()
+        if now_s - self._heard_at_s > AWAY_S and self.world.revision > 0:
+            self._returned_at_s = now_s
+        self._heard_at_s = now_s
+        if not self._reachable:
+            self._reachable = True
+            _log.info("store regained", revision=self.world.revision)
+
+    def _just_returned(self) -> bool:
+        return self._clock() - self._returned_at_s < self._rejoin_s
+
+    async def _read_all(self) -> None:
+        listing = await self._store.read(self._prefix)
+        self._on_answer()
+        facts: dict[str, Fact] = {}
+        for item in listing.items:
+            fact = self._read(item)
+            if fact is not None:
+                facts[item.key] = fact
+        self.world.replace(
+            facts, after_outage=self._just_returned(), now_s=self._clock()
+        )
+        self.world.revision = listing.revision
+        _log.info("store read", revision=listing.revision, items=len(facts))
+        self._on_change()
+
+    async def _follow(self) -> None:
+        changes = self._store.watch(self._prefix, from_revision=self.world.revision + 1)
+        async for change in changes:
+            self._on_answer()
+            self._apply(change)
+            if change.written or change.deleted:
+                await asyncio.sleep(GATHER_S)
+
+    def _apply(self, change: Change) -> None:
+        changed = False
+        for item in change.written:
+            fact = self._read(item)
+            if fact is not None:
+                changed |= self._put(item, fact)
+        for key in change.deleted:
+            changed |= self._remove(key)
+        self.world.revision = max(self.world.revision, change.revision)
+        gone = self.world.drop_missing(older_than_s=self._rejoin_s, now_s=self._clock())
+        for key in gone:
+            _log.info("upstream gone", key=key, why="not registered again")
+        if changed or gone:
+            self._on_change()
+
+    def _put(self, item: Item, fact: Fact) -> bool:
+        changed = self.world.put(item.key, fact)
+        if changed and isinstance(fact, Registration):
+            _log.info(
+                "upstream registered",
+                upstream=fact.id,
+                leaving=fact.leaving,
+                revision=item.revision,
+            )
+        return changed
+
+    def _remove(self, key: str) -> bool:
+        if self._just_returned() and self.world.hold_missing(key, now_s=self._clock()):
+            return False
+        removed = self.world.remove(key)
+        if removed:
+            _log.info("item removed", key=key, revision=self.world.revision)
+        return removed
+
+    def _read(self, item: Item) -> Fact | None:
+        fact = self._read_item(item)
+        if isinstance(fact, Unreadable):
+            _log.warning(
+                "item unreadable",
+                key=item.key,
+                revision=item.revision,
+                problem=fact.problem,
+            )
+        return fact
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/main.py
@@ -0,0 +1,81 @@
+"""Runs an entry that serves routes, on a platform."""
+
+import asyncio
+import signal
+import sys
+from typing import Any
+
+from borageramp_core import SettingsError
+from borageramp_entry._internal.logs import configure_logs, get_logger
+from borageramp_entry._internal.output import BoundedOutput
+from borageramp_entry._internal.routed.ports import Platform
+
+__all__ = ["run_routed"]
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+
+_log = get_logger(__name__)
+
+
+def run_routed(platform: Platform, *, log_level: str = "info") -> None:
+    """Run an entry until SIGTERM.
+
+    SIGHUP makes it read its settings anew.
+
+    Parameters
+    ----------
+    platform : Platform
+        The platform that it runs on.
+    log_level : str
+        Lowest level that is logged.
+    """
+    configure_logs(log_level, output=BoundedOutput(descriptor=sys.stdout.fileno()))
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    failures: list[BaseException] = []
+    loop.call_soon(_start, platform, reactor, failures)
+    reactor.run(installSignalHandlers=False)
+    if failures:
+        _report(failures[0])
+
+
+def _report(failure: BaseException) -> None:
+    if isinstance(failure, SettingsError):
+        for fault in failure.faults:
+            _log.error("bad settings", path=fault.path, problem=fault.problem)
+        sys.exit(EXIT_SETTINGS)
+    _log.error("entry failed", exc_info=failure)
+    sys.exit(EXIT_FAILED)
+
+
+def _start(platform: Platform, reactor: Any, failures: list[BaseException]) -> None:
+    running = asyncio.ensure_future(_serve(platform, reactor))
+
+    def ended(task: "asyncio.Task[None]") -> None:
+        error = task.exception()
+        if error is not None:
+            failures.append(error)
+        reactor.stop()
+
+    running.add_done_callback(ended)
+
+
+async def _serve(platform: Platform, reactor: Any) -> None:
+    from borageramp_entry._internal.routed.app import RoutedApp
+
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    # Until the settings are read, a signal to read them again has no effect.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    app = RoutedApp(platform=platform, reactor=reactor)
+    loop.add_signal_handler(signal.SIGHUP, app.reload)
+    await app.run(stop)
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pages.py
@@ -0,0 +1,114 @@
+"""The ports for addresses, readiness and metrics."""
+
+import random
+from collections.abc import Callable
+
+from twisted.web.server import Request
+
+from borageramp_entry._internal.border.http import Leaf
+from borageramp_entry._internal.metrics import Metrics
+from borageramp_entry._internal.routed.instances import InstanceList
+from borageramp_entry._internal.routed.ports import DirectoryDialect
+
+__all__ = ["DirectoryResource", "MetricsResource", "ReadinessResource"]
+
+MAX_ADDRESSES = 64
+
+
+def _send(request: Request, status: int, body: bytes, content_type: bytes) -> None:
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", content_type)
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
+
+
+class DirectoryResource(Leaf):
+    """Tells callers which addresses to use.
+
+    Parameters
+    ----------
+    instances : InstanceList
+        All instances.
+    ready : callable
+        Tells whether this instance takes callers.
+    dialect : DirectoryDialect
+        Form of the answers.
+    ttl_s : callable
+        Returns how long callers may keep an answer.
+    rng : random.Random
+        Source of randomness, which spreads callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        instances: InstanceList,
+        ready: Callable[[], bool],
+        dialect: DirectoryDialect,
+        ttl_s: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._instances = instances
+        self._ready = ready
+        self._dialect = dialect
+        self._ttl_s = ttl_s
+        self._rng = rng
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        if request.path != self._dialect.addresses_path:
+            _send(request, 404, b"{}", b"application/json")
+            return
+        usable = self._instances.usable(own_ready=self._ready())
+        addresses = [i.caller_address for i in usable]
+        if not addresses:
+            _send(request, 503, b"{}", b"application/json")
+            return
+        if len(addresses) > MAX_ADDRESSES:
+            addresses = self._rng.sample(addresses, MAX_ADDRESSES)
+        body = self._dialect.answer(addresses, ttl_s=self._ttl_s())
+        _send(request, 200, body, b"application/json")
+
+
+class ReadinessResource(Leaf):
+    """Tells whether this instance takes callers.
+
+    Parameters
+    ----------
+    ready : callable
+        Tells whether this instance takes callers.
+    path : bytes
+        Path of the question.
+    """
+
+    def __init__(self, *, ready: Callable[[], bool], path: bytes) -> None:
+        super().__init__()
+        self._ready = ready
+        self._path = path
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        status = 200 if self._ready() else 503
+        if request.path != self._path:
+            status = 404
+        _send(request, status, b"{}", b"application/json")
+
+
+class MetricsResource(Leaf):
+    """Serves the metrics.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Instruments.
+    """
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        super().__init__()
+        self._metrics = metrics
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        _send(request, 200, self._metrics.text(), b"text/plain; version=0.0.4")
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -0,0 +1,123 @@
+"""The pools, budgets and estimates of all services and routes."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+
+from borageramp_core import RatioBudget
+from borageramp_core.routing import (
+    ColdAllowance,
+    Registration,
+    Route,
+    ServicePool,
+    UpstreamView,
+    WorkEstimate,
+    World,
+)
+from borageramp_settings import FleetBounds
+
+__all__ = ["Pools"]
+
+# Shares of the bounds on repeated tries that are used. The rest covers member
+# lists that differ, and requests that are counted in another window.
+RETRY_RATIO_SHARE = 0.8
+RETRY_SLACK_SHARE = 0.5
+
+
+class Pools:
+    """What one entry keeps for each service and route.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where this entry runs.
+    bounds : FleetBounds
+        Bounds over all entries.
+    cold : ColdAllowance
+        What this entry may send to cold upstreams.
+    on_gone : callable
+        Gets each upstream that is gone or started anew.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        bounds: FleetBounds,
+        cold: ColdAllowance,
+        on_gone: Callable[[UpstreamView], None],
+        rng: random.Random,
+    ) -> None:
+        self.bounds = bounds
+        self.cold = cold
+        self._data_centre = data_centre
+        self._on_gone = on_gone
+        self._rng = rng
+        self._entries = 1
+        self._pools: dict[str, ServicePool] = {}
+        self._repeats: dict[str, RatioBudget] = {}
+        self._work: dict[str, WorkEstimate] = {}
+
+    def apply(self, world: World, *, entries: frozenset[str], now_s: float) -> None:
+        """Take in what is known now."""
+        self._entries = max(1, len(entries))
+        self.cold.update_members(entries)
+        by_service: defaultdict[str, list[Registration]] = defaultdict(list)
+        for registration in world.registrations():
+            by_service[registration.service].append(registration)
+        services = world.config.services if world.config is not None else {}
+        for name in {*by_service, *services, *self._pools}:
+            pool = self.pool(name)
+            before = dict(pool.views)
+            gone = pool.apply(
+                by_service.get(name, ()),
+                settings=services.get(name),
+                data_centres_out=world.data_centres_out(),
+                now_s=now_s,
+            )
+            for upstream_id in gone:
+                self._on_gone(before[upstream_id])
+
+    @property
+    def upstreams(self) -> int:
+        """Number of upstreams of all services."""
+        return sum(len(p.views) for p in self._pools.values())
+
+    @property
+    def entries(self) -> int:
+        """Number of entries that share the bounds."""
+        return self._entries
+
+    def pool(self, service: str) -> ServicePool:
+        """Return the pool of a service."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = ServicePool(
+                name=service,
+                data_centre=self._data_centre,
+                cold=self.cold,
+                rng=self._rng,
+            )
+            self._pools[service] = pool
+        return pool
+
+    def repeats(self, service: str) -> RatioBudget:
+        """Return this entry's budget of repeated tries at a service."""
+        budget = self._repeats.get(service)
+        if budget is None:
+            budget = RatioBudget(ratio=0.0, burst=1.0)
+            self._repeats[service] = budget
+        budget.ratio = self.bounds.retry_ratio * RETRY_RATIO_SHARE
+        share = self.bounds.retry_slack * RETRY_SLACK_SHARE / self._entries
+        budget.burst = max(1.0, share)
+        return budget
+
+    def work(self, route: Route) -> WorkEstimate:
+        """Return the estimate of a route's work."""
+        estimate = self._work.get(route.name)
+        if estimate is None:
+            estimate = WorkEstimate(route=route)
+            self._work[route.name] = estimate
+        return estimate
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -0,0 +1,101 @@
+"""Asks upstreams for their load, right before requests are placed."""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+from borageramp_core import TokenBucket
+from borageramp_core.routing import UpstreamView
+from borageramp_entry._internal.routed.pools import Pools
+from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
+
+__all__ = ["Prober"]
+
+# A report of this age needs no other probe.
+RECENT_S = 0.004
+# Health endpoints answer at once; one that takes longer counts as silent.
+TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.15
+# Share of the bound on probes that is used, and seconds of it saved up.
+RATE_SHARE = 0.85
+SAVED_S = 3.0
+
+
+class Prober:
+    """Sends probes within this entry's share of their bound.
+
+    Parameters
+    ----------
+    client : UpstreamClient
+        Connections to upstreams.
+    pools : Pools
+        All upstreams.
+    health_path : callable
+        Returns the path of a service's health endpoint.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: UpstreamClient,
+        pools: Pools,
+        health_path: Callable[[str], str | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._pools = pools
+        self._health_path = health_path
+        self._clock = clock
+        self._bucket = TokenBucket(rate_hz=0.0, burst=1.0, now_s=clock())
+        self._under_way: dict[str, asyncio.Task[None]] = {}
+        self.sent = 0
+
+    def _allowed(self, *, now_s: float) -> bool:
+        rate_hz = self._pools.bounds.probes_hz * self._pools.upstreams
+        self._bucket.rate_hz = rate_hz * RATE_SHARE / self._pools.entries
+        self._bucket.burst = max(1.0, self._bucket.rate_hz * SAVED_S)
+        return self._bucket.take(now_s=now_s)
+
+    def start(self, views: Collection[UpstreamView]) -> list["asyncio.Task[None]"]:
+        """Start probes; those that are not needed are left out.
+
+        Returns
+        -------
+        list of asyncio.Task
+            The probes under way, of which some may have been started before.
+        """
+        now_s = self._clock()
+        tasks = []
+        for view in views:
+            task = self._under_way.get(view.registration.id)
+            if task is None:
+                if view.report_age_s(now_s=now_s) <= RECENT_S:
+                    continue
+                path = self._health_path(view.registration.service)
+                if path is None or not self._allowed(now_s=now_s):
+                    continue
+                task = asyncio.ensure_future(self._probe(view, path))
+                self._under_way[view.registration.id] = task
+            tasks.append(task)
+        return tasks
+
+    async def _probe(self, view: UpstreamView, path: str) -> None:
+        self.sent += 1
+        try:
+            answer = await self._client.ask_health(
+                view.upstream,
+                path,
+                timeout_s=TIMEOUT_S,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+            )
+        except TryFailedError:
+            # Other kept connections to it may be dead too.
+            self._client.pool.forget(view.upstream.host, view.upstream.port)
+            view.on_silence(now_s=self._clock())
+            return
+        finally:
+            self._under_way.pop(view.registration.id, None)
+        view.ill = not answer.healthy
+        if answer.report is not None:
+            view.on_report(answer.report, now_s=self._clock())
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/tries.py
@@ -0,0 +1,156 @@
+"""One try of a routed request on one upstream."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from borageramp_core import Result
+from borageramp_core.routing import Chosen, ServicePool, WorkEstimate
+from borageramp_entry._internal.serving.requests import CallerRequest
+from borageramp_entry._internal.serving.upstreams import (
+    TryFailedError,
+    UpstreamAnswer,
+    UpstreamClient,
+)
+
+__all__ = ["RoutedAnswer", "RoutedTry"]
+
+# An answer up to this size is read whole before any of it goes to the caller,
+# so that one that is cut short can be asked for again.
+MAX_HELD_BYTES = 1_048_576
+CONNECT_TIMEOUT_S = 0.3
+STATUS_ERROR = 500
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutedAnswer:
+    """An answer of an upstream.
+
+    Attributes
+    ----------
+    answer : UpstreamAnswer
+        Its head, and the part of the body that is not read yet.
+    body : bytes
+        The part that was read.
+    whole : bool
+        Whether that is all.
+    """
+
+    answer: UpstreamAnswer
+    body: bytes
+    whole: bool
+
+    @property
+    def failed(self) -> bool:
+        """Whether the upstream says that it failed."""
+        return self.answer.head.status >= STATUS_ERROR
+
+
+class RoutedTry:
+    """A try that an upstream was chosen for.
+
+    Parameters
+    ----------
+    chosen : Chosen
+        The upstream.
+    pool : ServicePool
+        The upstreams of the service.
+    work : WorkEstimate
+        Work of the route.
+    client : UpstreamClient
+        Connections to upstreams.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        chosen: Chosen,
+        pool: ServicePool,
+        work: WorkEstimate,
+        client: UpstreamClient,
+        clock: Callable[[], float],
+    ) -> None:
+        self.view = chosen.view
+        self.started_at_s = clock()
+        self._pace_then = chosen.view.pace
+        self._pool = pool
+        self._work = work
+        self._client = client
+        self._clock = clock
+        self._ended = False
+
+    async def run(self, request: CallerRequest) -> RoutedAnswer:
+        """Send the request and read the answer, or the first part of it.
+
+        Raises
+        ------
+        TryFailedError
+            If there is no answer, or it was cut short.
+        """
+        try:
+            return await self._run(request)
+        except TryFailedError as error:
+            if error.report is not None:
+                self.view.on_report(error.report, now_s=self._clock())
+            self.end(error.result)
+            raise
+        except asyncio.CancelledError:
+            self.end(Result.CANCELLED)
+            raise
+
+    async def _run(self, request: CallerRequest) -> RoutedAnswer:
+        left_s = request.deadline_s - self._clock()
+        answer = await self._client.send(
+            self.view.upstream,
+            request,
+            timeout_s=max(0.0, left_s),
+            deadline_ms=int(left_s * 1000),
+            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, left_s)),
+        )
+        if answer.report is not None:
+            self.view.on_report(answer.report, now_s=self._clock())
+        try:
+            read = await self._read(answer, request)
+        except BaseException:
+            answer.abort()
+            raise
+        self._learn(read)
+        return read
+
+    async def _read(
+        self, answer: UpstreamAnswer, request: CallerRequest
+    ) -> RoutedAnswer:
+        parts: list[bytes] = []
+        held_bytes = 0
+        while held_bytes <= MAX_HELD_BYTES:
+            left_s = request.deadline_s - self._clock()
+            try:
+                part = await answer.read(max(0.0, left_s))
+            except TimeoutError:
+                raise TryFailedError(Result.TIMED_OUT) from None
+            if not part:
+                return RoutedAnswer(answer=answer, body=b"".join(parts), whole=True)
+            parts.append(part)
+            held_bytes += len(part)
+        return RoutedAnswer(answer=answer, body=b"".join(parts), whole=False)
+
+    def _learn(self, read: RoutedAnswer) -> None:
+        if read.failed:
+            self.end(Result.ERROR)
+            return
+        self._work.on_answer(self.elapsed_s, pace=self._pace_then)
+        self.end(Result.ANSWERED)
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the try began."""
+        return self._clock() - self.started_at_s
+
+    def end(self, result: Result) -> None:
+        """Give the slot back, once."""
+        if self._ended:
+            return
+        self._ended = True
+        self._pool.finish(self.view, result, now_s=self._clock())
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dialect.py
@@ -0,0 +1,115 @@
+"""How requests and answers are written for upstreams."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from twisted.web.http_headers import Headers as HttpHeaders
+
+from borageramp_core import LoadReport, Upstream
+from borageramp_entry._internal.serving.reports import parse_report
+from borageramp_entry._internal.serving.requests import (
+    AnswerHead,
+    CallerRequest,
+    Headers,
+)
+
+__all__ = [
+    "HOP_BY_HOP",
+    "EntryDialect",
+    "HeadOfAnswer",
+    "UpstreamDialect",
+    "pass_headers",
+]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+SHED_HEADER = "borageramp-shed"
+SHED_MARK = b"not-run"
+STATUS_UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeadOfAnswer:
+    """Status and headers of an upstream's answer, and what they say.
+
+    Attributes
+    ----------
+    head : AnswerHead
+        Status and headers for the caller.
+    report : LoadReport or None
+        What the upstream said of itself.
+    not_run : bool
+        Whether the upstream said that it did not run the request.
+    foreign : bool
+        Whether the answer names another request.
+    """
+
+    head: AnswerHead
+    report: LoadReport | None = None
+    not_run: bool = False
+    foreign: bool = False
+
+
+class UpstreamDialect(Protocol):
+    """The headers that upstreams understand and send."""
+
+    def request_headers(
+        self, request: CallerRequest, *, upstream: Upstream, deadline_ms: int
+    ) -> HttpHeaders:
+        """Return the headers of a request."""
+
+    def read_head(
+        self, status: int, headers: HttpHeaders, *, request_id: str
+    ) -> HeadOfAnswer:
+        """Read the head of an answer to a request."""
+
+
+class EntryDialect:
+    """The headers of this project's own interface."""
+
+    def request_headers(
+        self, request: CallerRequest, *, upstream: Upstream, deadline_ms: int
+    ) -> HttpHeaders:
+        """Return the headers of a request."""
+        headers = HttpHeaders()
+        for name, value in request.headers:
+            if name not in HOP_BY_HOP:
+                headers.addRawHeader(name.encode(), value)
+        headers.setRawHeaders("borageramp-request-id", [request.request_id])
+        headers.setRawHeaders("borageramp-deadline-ms", [str(max(1, deadline_ms))])
+        if request.caller_key:
+            headers.setRawHeaders("idempotency-key", [request.caller_key])
+        return headers
+
+    def read_head(
+        self, status: int, headers: HttpHeaders, *, request_id: str
+    ) -> HeadOfAnswer:
+        """Read the head of an answer to a request."""
+        raw_report = headers.getRawHeaders("upstream-load")
+        shed = headers.getRawHeaders(SHED_HEADER.encode()) == [SHED_MARK]
+        passed = pass_headers(headers, but=HOP_BY_HOP | {"upstream-load"})
+        return HeadOfAnswer(
+            head=AnswerHead(status=status, headers=passed),
+            report=parse_report(raw_report[0]) if raw_report else None,
+            not_run=status == STATUS_UNAVAILABLE and shed,
+        )
+
+
+def pass_headers(headers: HttpHeaders, *, but: frozenset[str]) -> Headers:
+    """Return headers to pass on, without those of one connection only."""
+    return tuple(
+        (name.decode("latin-1").lower(), value)
+        for name, values in headers.getAllRawHeaders()
+        if name.decode("latin-1").lower() not in but
+        for value in values
+    )
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -10,45 +10,31 @@
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    RequestNotSent,
-    ResponseDone,
-)
+from twisted.web.client import Agent, RequestNotSent, ResponseDone
 from twisted.web.client import FileBodyProducer as _FileBodyProducer
-from twisted.web.http_headers import Headers as HttpHeaders
 
 from borageramp_core import LoadReport, Result, Upstream
+from borageramp_entry._internal.serving.connections import ConnectionPool
+from borageramp_entry._internal.serving.dialect import EntryDialect, UpstreamDialect
 from borageramp_entry._internal.serving.endpoints import (
     EndpointFactory,
     upstream_url,
 )
-from borageramp_entry._internal.serving.reports import parse_report
 from borageramp_entry._internal.serving.requests import AnswerHead, CallerRequest
 
-__all__ = ["TryFailedError", "UpstreamAnswer", "UpstreamClient"]
+__all__ = [
+    "HealthAnswer",
+    "TryFailedError",
+    "UpstreamAnswer",
+    "UpstreamClient",
+]
 
-IDLE_TIMEOUT_S = 30
 # Bytes of an answer held for a slow reader before the upstream is paused.
 BUFFER_BYTES = 65_536
-SHED_HEADER = "borageramp-shed"
-SHED_MARK = b"not-run"
-STATUS_UNAVAILABLE = 503
-
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "upstream-load",
-    }
-)
+STATUS_OK = 200
+# Idle connections are kept this long, and this many to one upstream.
+IDLE_S = 30.0
+MAX_IDLE = 32
 
 
 class TryFailedError(Exception):
@@ -171,22 +157,45 @@
         self._body.abort()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HealthAnswer:
+    """An answer of an upstream's health endpoint.
+
+    Attributes
+    ----------
+    healthy : bool
+        Whether the upstream says that it is well.
+    report : LoadReport or None
+        What else it said of itself.
+    """
+
+    healthy: bool
+    report: LoadReport | None
+
+
 class UpstreamClient:
-    """Sends requests to upstreams over pooled connections.
+    """Sends requests to upstreams over kept connections.
 
     Parameters
     ----------
     reactor : IReactorTime
         The running reactor.
+    dialect : UpstreamDialect, optional
+        Headers of requests and answers; by default this project's own.
+    idle_s : float
+        Time for which an idle connection is kept.
     """
 
-    def __init__(self, *, reactor: IReactorTime) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: IReactorTime,
+        dialect: UpstreamDialect | None = None,
+        idle_s: float = IDLE_S,
+    ) -> None:
         self._reactor = reactor
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
-        # The pool would send a request again by itself on a broken connection.
-        self._pool.retryAutomatically = False
-        self._pool.maxPersistentPerHost = 32
-        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        self._dialect = dialect or EntryDialect()
+        self.pool = ConnectionPool(reactor=reactor, idle_s=idle_s, max_idle=MAX_IDLE)
         self._agents: dict[tuple[float, bool], Agent] = {}
 
     def _agent(self, connect_timeout_s: float, *, fresh: bool) -> Agent:
@@ -195,7 +204,7 @@
             factory = EndpointFactory(
                 reactor=self._reactor, connect_timeout_s=connect_timeout_s
             )
-            pool = None if fresh else self._pool
+            pool: Any = None if fresh else self.pool
             agent = Agent.usingEndpointFactory(self._reactor, factory, pool=pool)
             self._agents[connect_timeout_s, fresh] = agent
         return agent
@@ -234,7 +243,9 @@
         TryFailedError
             If no answer came, or the upstream shed the request.
         """
-        headers = _upstream_headers(request, deadline_ms)
+        headers = self._dialect.request_headers(
+            request, upstream=upstream, deadline_ms=deadline_ms
+        )
         # On a connection that was idle, a break would leave it open whether
         # the request ran; a keyed request must not be lost to that.
         agent = self._agent(connect_timeout_s, fresh=bool(request.key))
@@ -244,10 +255,16 @@
             headers,
             _producer(request.body),
         )
+        response = await self._response(deferred, timeout_s=timeout_s)
+        return self._answer(response, request_id=request.request_id)
+
+    async def _response(
+        self, deferred: "defer.Deferred[Any]", *, timeout_s: float
+    ) -> Any:
         answering = _as_future(deferred)
         try:
             async with asyncio.timeout(timeout_s):
-                response = await answering
+                return await answering
         except TimeoutError:
             _drop(answering)
             raise TryFailedError(Result.TIMED_OUT) from None
@@ -258,23 +275,59 @@
             raise
         except Exception as error:
             raise TryFailedError(Result.DIED) from error
-        return self._answer(response)
 
-    def _answer(self, response: Any) -> UpstreamAnswer:
+    def _answer(self, response: Any, *, request_id: str) -> UpstreamAnswer:
         body = _Body()
         response.deliverBody(body)
-        headers = _answer_headers(response.headers)
-        raw_report = response.headers.getRawHeaders("upstream-load")
-        report = parse_report(raw_report[0]) if raw_report else None
-        shed = response.headers.getRawHeaders(SHED_HEADER.encode()) == [SHED_MARK]
-        if response.code == STATUS_UNAVAILABLE and shed:
-            raise TryFailedError(Result.SHED, report)
-        head = AnswerHead(status=response.code, headers=headers)
-        return UpstreamAnswer(head=head, report=report, _body=body)
+        read = self._dialect.read_head(
+            response.code, response.headers, request_id=request_id
+        )
+        if read.foreign:
+            # An answer to an earlier request; ours may still come, or not.
+            body.abort()
+            raise TryFailedError(Result.DIED)
+        if read.not_run:
+            raise TryFailedError(Result.SHED, read.report)
+        return UpstreamAnswer(head=read.head, report=read.report, _body=body)
+
+    async def ask_health(
+        self,
+        upstream: Upstream,
+        path: str,
+        *,
+        timeout_s: float,
+        connect_timeout_s: float,
+    ) -> HealthAnswer:
+        """Ask an upstream's health endpoint.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            Whom to ask.
+        path : str
+            Path of the endpoint.
+        timeout_s, connect_timeout_s : float
+            Time for the answer, and for opening a connection.
+
+        Raises
+        ------
+        TryFailedError
+            If no answer came.
+        """
+        agent = self._agent(connect_timeout_s, fresh=False)
+        deferred = agent.request(b"GET", upstream_url(upstream, path))
+        response = await self._response(deferred, timeout_s=timeout_s)
+        read = self._dialect.read_head(response.code, response.headers, request_id="")
+        body = _Body()
+        response.deliverBody(body)
+        if read.foreign:
+            body.abort()
+            raise TryFailedError(Result.DIED)
+        return HealthAnswer(healthy=response.code == STATUS_OK, report=read.report)
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await _as_future(self._pool.closeCachedConnections())
+        self.pool.close()
 
 
 def _as_future(deferred: "defer.Deferred[Any]") -> "asyncio.Future[Any]":
@@ -294,24 +347,3 @@
     if not body:
         return None
     return _FileBodyProducer(io.BytesIO(body))
-
-
-def _upstream_headers(request: CallerRequest, deadline_ms: int) -> HttpHeaders:
-    headers = HttpHeaders()
-    for name, value in request.headers:
-        if name not in _HOP_BY_HOP:
-            headers.addRawHeader(name.encode(), value)
-    headers.setRawHeaders("borageramp-request-id", [request.request_id])
-    headers.setRawHeaders("borageramp-deadline-ms", [str(max(1, deadline_ms))])
-    if request.caller_key:
-        headers.setRawHeaders("idempotency-key", [request.caller_key])
-    return headers
-
-
-def _answer_headers(headers: HttpHeaders) -> tuple[tuple[str, bytes], ...]:
-    return tuple(
-        (name.decode("latin-1").lower(), value)
-        for name, values in headers.getAllRawHeaders()
-        if name.decode("latin-1").lower() not in _HOP_BY_HOP
-        for value in values
-    )
--- a/packages/entry/src/borageramp_entry/_internal/store/base.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/base.py
@@ -61,10 +61,14 @@
         Items written.
     deleted : tuple of str
         Keys deleted.
+    revision : int
+        Revision up to which the watch has now told everything; 0 if the
+        store doesn't say.
     """
 
     written: tuple[Item, ...]
     deleted: tuple[str, ...]
+    revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -160,7 +164,11 @@
         """Delete all items with keys from ``start`` up to, not with, ``end``."""
 
     def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[Change]:
-        """Yield the changes to a prefix, from a revision on."""
+        """Yield the changes to a prefix, from a revision on.
+
+        A store may yield empty changes, which say that nothing is new.
+        Raises ``HistoryLostError`` if it no longer has the changes.
+        """
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its identifier."""
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/routed.py
@@ -0,0 +1,59 @@
+"""What an adapter to a platform works with."""
+
+from borageramp_entry._internal.routed.main import run_routed
+from borageramp_entry._internal.routed.ports import (
+    CallerDialect,
+    CallerTerms,
+    DirectoryDialect,
+    Platform,
+    RefusalAnswer,
+)
+from borageramp_entry._internal.serving.connections import ConnectionPool
+from borageramp_entry._internal.serving.dialect import (
+    HOP_BY_HOP,
+    HeadOfAnswer,
+    UpstreamDialect,
+    pass_headers,
+)
+from borageramp_entry._internal.serving.endpoints import EndpointFactory
+from borageramp_entry._internal.serving.requests import (
+    AnswerHead,
+    CallerRequest,
+    Headers,
+)
+from borageramp_entry._internal.store.base import (
+    Change,
+    Commit,
+    Condition,
+    Item,
+    Listing,
+    Outcome,
+    Put,
+    Store,
+)
+
+__all__ = [
+    "HOP_BY_HOP",
+    "AnswerHead",
+    "CallerDialect",
+    "CallerRequest",
+    "CallerTerms",
+    "Change",
+    "Commit",
+    "Condition",
+    "ConnectionPool",
+    "DirectoryDialect",
+    "EndpointFactory",
+    "HeadOfAnswer",
+    "Headers",
+    "Item",
+    "Listing",
+    "Outcome",
+    "Platform",
+    "Put",
+    "RefusalAnswer",
+    "Store",
+    "UpstreamDialect",
+    "pass_headers",
+    "run_routed",
+]
--- a/packages/settings/src/borageramp_settings/__init__.py
+++ b/packages/settings/src/borageramp_settings/__init__.py
@@ -14,6 +14,7 @@
     resolve,
     validate_tree,
 )
+from borageramp_settings._internal.routed import FleetBounds, RoutedSettings
 from borageramp_settings._internal.tree import (
     DataCentreTree,
     GlobalTree,
@@ -28,9 +29,11 @@
     "ChangeRequest",
     "DataCentreTree",
     "EntrySettings",
+    "FleetBounds",
     "GlobalTree",
     "Resolved",
     "Resolver",
+    "RoutedSettings",
     "ServiceDataCentreTree",
     "ServiceTree",
     "StrictModel",
--- /dev/null
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -0,0 +1,75 @@
+"""Settings of an entry that serves routes."""
+
+from typing import Annotated
+
+from pydantic import Field
+
+from borageramp_settings._internal.base import HostPort, Name, StrictModel
+
+__all__ = ["FleetBounds", "RoutedSettings"]
+
+Positive = Annotated[float, Field(gt=0)]
+NotNegative = Annotated[float, Field(ge=0)]
+
+
+class FleetBounds(StrictModel):
+    """Bounds that hold over all entries together."""
+
+    retry_ratio: NotNegative = Field(
+        default=0.2, description="Repeated tries, as a share of the requests."
+    )
+    retry_slack: NotNegative = Field(
+        default=20.0, description="Repeated tries beyond that, in a window."
+    )
+    retry_window_s: Positive = Field(
+        default=10.0, description="Window of the two bounds on repeated tries."
+    )
+    probes_hz: NotNegative = Field(
+        default=20.0, description="Probes of one upstream a second."
+    )
+    cold_overage: Annotated[float, Field(ge=1)] = Field(
+        default=1.5, description="Factor on the rate that a cold upstream bears."
+    )
+    cold_slack: NotNegative = Field(
+        default=5.0, description="Requests a second to it beyond that."
+    )
+
+
+class RoutedSettings(StrictModel):
+    """Settings of one process that serves routes."""
+
+    name: Name = Field(description="Name of the instance.")
+    data_centre: Name = Field(description="Data centre where it runs.")
+    caller_address: HostPort = Field(description="Where callers connect.")
+    directory_address: HostPort | None = Field(
+        default=None, description="Where callers ask for addresses."
+    )
+    check_address: HostPort | None = Field(
+        default=None, description="Where readiness is asked for."
+    )
+    metrics_address: HostPort | None = Field(
+        default=None, description="Where metrics are read."
+    )
+    store_address: HostPort = Field(description="Address of the key-value service.")
+    directory_ttl_s: Positive = Field(
+        default=2.0, description="How long callers may keep addresses."
+    )
+    drain_s: Positive = Field(
+        default=5.0, description="Time for a planned stop, before it is forced."
+    )
+    leave_s: Positive = Field(
+        default=2.0,
+        description="Time after the start of a planned stop until callers have "
+        "fresh addresses; new connections are taken until then.",
+    )
+    lease_s: Positive = Field(
+        default=3.0, description="Lease of this instance's place on the list."
+    )
+    rejoin_s: Positive = Field(
+        default=2.0,
+        description="Time after an outage of the store within which upstreams "
+        "register again; those still missing then are gone.",
+    )
+    bounds: FleetBounds = Field(
+        default=FleetBounds(), description="Bounds over all entries."
+    )
