Wait longer on watches of the store, ask fewer upstreams, test the adapter

Silent connections are closed by the system (keep-alive probes, user time-out), and a renewal of the lease that gets no answer has the watch begin anew.

Waiting for probes ends with the first upstream that is good, without comparing all after each answer; three upstreams are asked in place of four.

--- a/packages/core/src/borageramp_core/_internal/routing/cold.py
+++ b/packages/core/src/borageramp_core/_internal/routing/cold.py
@@ -7,7 +7,6 @@
 differ by some entries.
 """
 
-import math
 from dataclasses import dataclass
 
 from borageramp_core._internal.budget import TokenBucket
@@ -64,7 +63,7 @@
     def sharers(self, ramp_hz: float) -> int:
         """Return how many entries share a cold upstream's rate."""
         room = ramp_hz * (self.bounds.overage - 1.0) + self.bounds.slack
-        return max(1, math.floor(room * self.BURST_SHARE))
+        return max(1, int(room * self.BURST_SHARE))
 
     def take(self, upstream_id: str, *, ramp_hz: float, now_s: float) -> bool:
         """Take one request to a cold upstream; tell whether it is allowed."""
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -26,6 +26,9 @@
 FAILURE_FACTOR = 4.0
 # How much it counts against an upstream that its health endpoint says ill.
 ILL_FACTOR = 4.0
+# What a good upstream reports, and its share of successes.
+GOOD_PACE = 1.2
+GOOD_SUCCESS = 0.9
 # Spreads entries that remember the same over upstreams that look alike.
 JITTER = 0.25
 # Largest share of a service's upstreams that may be ejected at once.
@@ -203,17 +206,34 @@
         usable = self.usable(wanted, now_s=now_s)
         fresh = [v for v in usable if v.report_age_s(now_s=now_s) <= FRESH_S]
         compared = fresh or ([] if fresh_only else usable)
-        if not compared:
+        cost = self._costs(compared, wanted, now_s=now_s)
+        costs = [
+            (cost(view), self._rng.random(), view)
+            for view in compared
+            if self._has_room(view, wanted, now_s=now_s)
+        ]
+        if not costs:
             return None
-        cost = self._costs(usable, wanted, now_s=now_s)
-        ranked = sorted(compared, key=lambda v: (cost(v), self._rng.random()))
-        for view in ranked:
-            if self._has_room(view, wanted, now_s=now_s):
-                expected_s = cost(view)
-                return Chosen(
-                    view=view, expected_s=expected_s, candidates=len(compared)
-                )
-        return None
+        expected_s, _, view = min(costs, key=lambda item: item[:2])
+        return Chosen(view=view, expected_s=expected_s, candidates=len(compared))
+
+    def is_good(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
+        """Tell whether an upstream is as good as one may hope for.
+
+        It is idle enough, works at the usual pace, and has not failed lately.
+        """
+        if (
+            view.pace > GOOD_PACE
+            or view.ill
+            or view.report_age_s(now_s=now_s) > FRESH_S
+        ):
+            return False
+        if view.load.in_flight + view.load.others + 1 > view.load.slots:
+            return False
+        if self.outliers.state(view.upstream.id).success < GOOD_SUCCESS:
+            return False
+        sound = self._sound(view, now_s=now_s)
+        return sound and self._usable(view, wanted, now_s=now_s)
 
     def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
         requests = view.load.estimate(usual_others=0.0, now_s=now_s)
--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -47,7 +47,7 @@
 from borageramp_entry._internal.serving.probing import ProbeTask
 from borageramp_entry._internal.serving.relay import PeerRelay
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
-from borageramp_entry._internal.store import EtcdStore
+from borageramp_entry._internal.store.etcd import EtcdStore
 from borageramp_settings import EntrySettings
 
 __all__ = ["EntryApp"]
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -95,6 +95,9 @@
             instance=self._own,
             lease_s=settings.lease_s,
             ready=self._ready,
+            on_checked=lambda answered: self._knowledge.on_store_checked(
+                answered=answered
+            ),
         )
         self._instances = InstanceList(
             own=self._own,
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -1,6 +1,7 @@
 """Takes a routed request to its answer: placement, tries, hedges."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +12,13 @@
     Result,
     Verdict,
 )
-from borageramp_core.routing import Chosen, Route, Wanted, retry_after_s
+from borageramp_core.routing import (
+    Chosen,
+    Route,
+    UpstreamView,
+    Wanted,
+    retry_after_s,
+)
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
@@ -24,14 +31,12 @@
 _log = get_logger(__name__)
 
 # Upstreams asked before a try is placed.
-PROBES = 4
-# Longest wait for their answers, and for the first of them when all are late.
+PROBES = 3
+# Longest wait for their answers.
 PROBE_WAIT_S = 0.02
 # Share of the objective for which a request may wait for room.
 HOLD_SHARE = 0.25
 HOLD_STEP_S = 0.01
-# An upstream this close to an idle one of usual pace needs no comparison.
-GOOD_FACTOR = 1.3
 # Less time than this, in multiples of the work, is no use to another try.
 MIN_LEFT_SHARE = 0.7
 
@@ -235,7 +240,7 @@
         while True:
             wanted = self._wanted()
             views = self._pool.to_probe(wanted, count=PROBES, now_s=self._parts.clock())
-            await self._ask(self._parts.prober.start(views))
+            await self._ask(views, wanted)
             chosen = self._choose(wanted)
             if chosen is not None:
                 return chosen
@@ -252,24 +257,31 @@
             return None
         return chosen
 
-    async def _ask(self, probes: "list[asyncio.Task[None]]") -> None:
+    async def _ask(self, views: list[UpstreamView], wanted: Wanted) -> None:
         """Wait until one of the upstreams asked is good, or all have answered."""
-        until_s = self._parts.clock() + PROBE_WAIT_S
-        left = set(probes)
-        while left:
-            wait_s = until_s - self._parts.clock()
-            if wait_s <= 0:
-                return
-            _, left = await asyncio.wait(
-                left, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
-            )
-            if left and self._is_good():
-                return
-
-    def _is_good(self) -> bool:
+        probes = self._parts.prober.start(views)
+        if not probes:
+            return
+        enough = asyncio.get_running_loop().create_future()
+        left = len(probes)
+
+        def answered(probe: "asyncio.Task[UpstreamView]") -> None:
+            nonlocal left
+            left -= 1
+            if not enough.done() and (left == 0 or self._is_good(probe, wanted)):
+                enough.set_result(None)
+
+        for probe in probes:
+            probe.add_done_callback(answered)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PROBE_WAIT_S):
+                await enough
+
+    def _is_good(self, probe: "asyncio.Task[UpstreamView]", wanted: Wanted) -> bool:
+        if probe.cancelled() or probe.exception() is not None:
+            return False
         now_s = self._parts.clock()
-        best = self._pool.choose(self._wanted(), now_s=now_s, fresh_only=True)
-        return best is not None and best.expected_s <= GOOD_FACTOR * self._work.mean_s
+        return self._pool.is_good(probe.result(), wanted, now_s=now_s)
 
     def _start(self, chosen: Chosen) -> None:
         started = RoutedTry(
--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from borageramp_core import HistoryLostError, StoreError
+from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
 from borageramp_core.routing import Fact, Registration, Unreadable, World
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.store.base import Change, Item, Store
@@ -14,11 +14,9 @@
 _log = get_logger(__name__)
 
 # Changes come in groups; a short wait lets one call fetch a group.
-GATHER_S = 0.1
+GATHER_S = 0.35
 # Pause after a failed call, with as much again at random.
 RETRY_S = 0.2
-# Without an answer for this long, the store counts as away.
-AWAY_S = 1.0
 
 
 class KnowledgeTask:
@@ -69,6 +67,8 @@
         self._heard_at_s = float("-inf")
         self._returned_at_s = float("-inf")
         self._reachable = True
+        self._suspect = False
+        self._following: asyncio.Task[None] | None = None
 
     def age_s(self) -> float:
         """Return the time since the store last answered."""
@@ -82,7 +82,7 @@
                 if not whole:
                     await self._read_all()
                     whole = True
-                await self._follow()
+                await self._follow_until_restarted()
             except HistoryLostError:
                 _log.warning("store history lost", revision=self.world.revision)
                 whole = False
@@ -90,6 +90,34 @@
                 self._on_failure(error)
                 await asyncio.sleep(RETRY_S * (1.0 + self._rng.random()))
 
+    def on_store_checked(self, *, answered: bool) -> None:
+        """Take in whether the store answered another call.
+
+        A watch that waits can't tell a store that has nothing new from one
+        that will never answer. The calls that renew the lease can.
+        """
+        if answered:
+            self._on_answer()
+            if self._suspect:
+                self._suspect = False
+                self._restart()
+            return
+        self._suspect = True
+        self._on_failure(StoreUnavailableError("a call got no answer"))
+
+    def _restart(self) -> None:
+        if self._following is not None:
+            self._following.cancel()
+
+    async def _follow_until_restarted(self) -> None:
+        self._following = asyncio.ensure_future(self._follow())
+        try:
+            await asyncio.wait([self._following])
+        finally:
+            self._following.cancel()
+        if not self._following.cancelled():
+            self._following.result()
+
     def _on_failure(self, error: StoreError) -> None:
         if self._reachable:
             self._reachable = False
@@ -97,11 +125,10 @@
 
     def _on_answer(self) -> None:
         now_s = self._clock()
-        if now_s - self._heard_at_s > AWAY_S and self.world.revision > 0:
-            self._returned_at_s = now_s
         self._heard_at_s = now_s
         if not self._reachable:
             self._reachable = True
+            self._returned_at_s = now_s
             _log.info("store regained", revision=self.world.revision)
 
     def _just_returned(self) -> bool:
--- a/packages/entry/src/borageramp_entry/_internal/routed/listing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/listing.py
@@ -31,6 +31,8 @@
         Length of the lease.
     ready : callable
         Tells whether this instance takes callers.
+    on_checked : callable
+        Is told whether the store answered.
     """
 
     def __init__(
@@ -40,11 +42,13 @@
         instance: Instance,
         lease_s: float,
         ready: Callable[[], bool],
+        on_checked: Callable[[bool], None],
     ) -> None:
         self._store = store
         self._instance = instance
         self._lease_s = lease_s
         self._ready = ready
+        self._on_checked = on_checked
         self._lease_id = 0
         self._listed = False
         self._hurry = asyncio.Event()
@@ -54,9 +58,11 @@
         while True:
             pause_s = self._lease_s / RENEWALS
             try:
-                await self._step()
+                if await self._step():
+                    self._on_checked(True)
             except StoreError as error:
                 _log.warning("listing failed", error=str(error))
+                self._on_checked(False)
                 pause_s = RETRY_S
             await self._pause(pause_s)
 
@@ -68,9 +74,10 @@
         except TimeoutError:
             return
 
-    async def _step(self) -> None:
+    async def _step(self) -> bool:
+        """Take the next step; tell whether the store was asked for anything."""
         if not self._ready():
-            return
+            return False
         if self._lease_id and not await self._store.keep_lease(self._lease_id):
             self._lease_id = 0
         if not self._lease_id:
@@ -78,6 +85,7 @@
             self._lease_id = await self._store.grant_lease(self._lease_s)
         if not self._listed:
             await self._put()
+        return True
 
     async def _put(self) -> None:
         put = Put(
--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Prober"]
 
+Probe = asyncio.Task[UpstreamView]
+
 # A report of this age needs no other probe.
 RECENT_S = 0.004
 # Health endpoints answer at once; one that takes longer counts as silent.
@@ -48,7 +50,7 @@
         self._health_path = health_path
         self._clock = clock
         self._bucket = TokenBucket(rate_hz=0.0, burst=1.0, now_s=clock())
-        self._under_way: dict[str, asyncio.Task[None]] = {}
+        self._under_way: dict[str, Probe] = {}
         self.sent = 0
 
     def _allowed(self, *, now_s: float) -> bool:
@@ -57,7 +59,7 @@
         self._bucket.burst = max(1.0, self._bucket.rate_hz * SAVED_S)
         return self._bucket.take(now_s=now_s)
 
-    def start(self, views: Collection[UpstreamView]) -> list["asyncio.Task[None]"]:
+    def start(self, views: Collection[UpstreamView]) -> list[Probe]:
         """Start probes; those that are not needed are left out.
 
         Returns
@@ -80,7 +82,7 @@
             tasks.append(task)
         return tasks
 
-    async def _probe(self, view: UpstreamView, path: str) -> None:
+    async def _probe(self, view: UpstreamView, path: str) -> UpstreamView:
         self.sent += 1
         try:
             answer = await self._client.ask_health(
@@ -93,9 +95,10 @@
             # Other kept connections to it may be dead too.
             self._client.forget(view.upstream)
             view.on_silence(now_s=self._clock())
-            return
+            return view
         finally:
             self._under_way.pop(view.registration.id, None)
         view.ill = not answer.healthy
         if answer.report is not None:
             view.on_report(answer.report, now_s=self._clock())
+        return view
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
@@ -19,6 +20,10 @@
 # Bytes of an answer held for a slow reader before the server is paused.
 BUFFER_BYTES = 65_536
 FINAL_STATUS = 200
+# A peer that acknowledges nothing for this long is gone; without it, a cut
+# shows only when the system gives up, minutes later.
+SILENCE_MS = 1500
+KEEP_ALIVE_S = 1
 # Statuses whose answers have no body.
 BODILESS = (204, 304)
 
@@ -146,6 +151,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take in that the connection is open."""
         self._transport = cast(asyncio.Transport, transport)
+        _notice_silence(transport.get_extra_info("socket"))
 
     def start(self, data: bytes, *, bodiless: bool = False) -> HttpResponse:
         """Send a request.
@@ -263,3 +269,13 @@
         response, self._response = self._response, None
         if response is not None:
             response.on_end(whole=False)
+
+
+def _notice_silence(sock: Any) -> None:
+    """Have the system close a connection whose peer is silent."""
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
--- a/packages/entry/src/borageramp_entry/_internal/store/__init__.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/__init__.py
@@ -1,4 +1,4 @@
-"""Access to the platform's key-value service."""
+"""Access to the platform's key-value service; ``etcd`` has the client of one."""
 
 from borageramp_entry._internal.store.base import (
     Change,
@@ -10,13 +10,11 @@
     Put,
     Store,
 )
-from borageramp_entry._internal.store.etcd import EtcdStore
 
 __all__ = [
     "Change",
     "Commit",
     "Condition",
-    "EtcdStore",
     "Item",
     "Listing",
     "Outcome",
--- a/tests/contract/test_registry.py
+++ b/tests/contract/test_registry.py
@@ -9,7 +9,7 @@
 from borageramp_core import ListedEntry, OutcomeUnknownError
 from borageramp_entry._internal.control.keyspace import ENTRIES
 from borageramp_entry._internal.control.registry import RegistryTask
-from borageramp_entry._internal.store import EtcdStore
+from borageramp_entry._internal.store.etcd import EtcdStore
 from tests.lib.builders import make_entry
 from tests.lib.stores import running_store
 
--- a/tests/contract/test_store.py
+++ b/tests/contract/test_store.py
@@ -13,9 +13,9 @@
     Change,
     Commit,
     Condition,
-    EtcdStore,
     Put,
 )
+from borageramp_entry._internal.store.etcd import EtcdStore
 from tests.lib.stores import running_store
 
 TIMEOUT_S = 0.4
--- /dev/null
+++ b/tests/lib/routed.py
@@ -0,0 +1,168 @@
+"""Builders of test data for entries that serve routes."""
+
+import json
+import random
+from typing import Any
+
+from borageramp_core import LoadReport
+from borageramp_core.routing import (
+    ColdAllowance,
+    ColdBounds,
+    Registration,
+    Route,
+    RoutedService,
+    RoutingConfig,
+    ServicePool,
+    ServiceShare,
+    Wanted,
+)
+
+HERE = "north"
+AWAY = "south"
+
+
+def make_route(name: str = "r1", **fields: Any) -> Route:
+    """Return an idempotent route to ``records``."""
+    values: dict[str, Any] = {
+        "host": "a.example",
+        "path_prefix": "/",
+        "shares": (ServiceShare(service="records"),),
+        "idempotent": True,
+        "timeout_s": 1.0,
+        "objective_s": 0.25,
+        "rank": 1,
+        "max_runs": 2,
+        **fields,
+    }
+    return Route(name=name, **values)
+
+
+def make_config(version: int = 1, *routes: Route) -> RoutingConfig:
+    """Return a configuration of one service."""
+    return RoutingConfig(
+        version=version,
+        routes=routes or (make_route(),),
+        services={"records": make_routed_service()},
+    )
+
+
+def make_routed_service(**fields: Any) -> RoutedService:
+    """Return a service whose cold upstreams bear 20 requests a second."""
+    values: dict[str, Any] = {
+        "name": "records",
+        "health_path": "/healthz",
+        "connections": 100,
+        "ramp_hz": 20.0,
+        "warmup_s": 3.0,
+        **fields,
+    }
+    return RoutedService(**values)
+
+
+def make_registration(name: str = "u1", **fields: Any) -> Registration:
+    """Return a warm upstream in this data centre."""
+    values: dict[str, Any] = {
+        "service": "records",
+        "data_centre": HERE,
+        "host": "127.0.0.1",
+        "port": 1000,
+        "slots": 4,
+        **fields,
+    }
+    return Registration(id=name, **values)
+
+
+def make_cold(members: int = 1, *, own: int = 0, **bounds: float) -> ColdAllowance:
+    """Return the allowance of one of some entries."""
+    cold = ColdAllowance(member=f"e{own}", bounds=ColdBounds(**bounds))
+    cold.update_members(frozenset(f"e{i}" for i in range(members)))
+    return cold
+
+
+def make_pool(
+    *registrations: Registration,
+    out: tuple[str, ...] = (),
+    cold: ColdAllowance | None = None,
+    seed: int = 1,
+) -> ServicePool:
+    """Return a pool of upstreams that nothing is known of."""
+    pool = ServicePool(
+        name="records",
+        data_centre=HERE,
+        cold=cold or make_cold(),
+        rng=random.Random(seed),
+    )
+    pool.apply(
+        registrations,
+        settings=make_routed_service(),
+        data_centres_out=out,
+        now_s=0.0,
+    )
+    return pool
+
+
+def make_wanted(**fields: Any) -> Wanted:
+    """Return a request of 0.1 s of work."""
+    values: dict[str, Any] = {"work_s": 0.1, "left_s": 1.0, **fields}
+    return Wanted(**values)
+
+
+def make_report(in_flight: int = 0, **fields: Any) -> LoadReport:
+    """Return a report of an upstream with four slots."""
+    return LoadReport(in_flight=in_flight, slots=4, **fields)
+
+
+def upstream_document(**fields: Any) -> dict[str, Any]:
+    """Return what an upstream writes into the platform's store."""
+    return {
+        "address": "127.0.0.1:8080",
+        "info": {
+            "backend": "records",
+            "config_version": "v1",
+            "zone": HERE,
+            "slots": 4,
+        },
+        "status": {"state": "ready", "seq": 1, "slow_start_s_time": 0},
+        "born": 1_700_000_000_000,
+        **fields,
+    }
+
+
+def config_document(version: int = 1, **route: Any) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    spec = {
+        "hostname": "a.example",
+        "path_prefix": "/r/",
+        "kind": "safe",
+        "timeout_s": 1,
+        "aim_s": 0.25,
+        "priority": 2,
+        "attempts": 2,
+        "backend": "records",
+        **route,
+    }
+    service = {
+        "health_path": "/healthz",
+        "max_conns": 100,
+        "slow_start_s": 3.0,
+        "ramp_per_s": 20.0,
+    }
+    limits = {
+        "max_header_bytes": 8192,
+        "max_body_bytes": 100_000,
+        "header_timeout_s": 5,
+        "idle_timeout_s": 20,
+    }
+    return {
+        "config_version": version,
+        "resources": [
+            {"type": "routes", "metadata": {"name": "r1"}, "spec": spec},
+            {"type": "services", "metadata": {"name": "records"}, "spec": service},
+            {"type": "limits", "metadata": {"name": "limits"}, "spec": limits},
+        ],
+    }
+
+
+def as_bytes(document: Any) -> bytes:
+    """Return a document as the store holds it."""
+    return json.dumps(document).encode()
--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -7,7 +7,7 @@
 
 from borageramp_bench.processes import free_port
 from borageramp_bench.standins.store import StoreStandin, make_server
-from borageramp_entry._internal.store import EtcdStore
+from borageramp_entry._internal.store.etcd import EtcdStore
 
 __all__ = ["StorePair", "running_store"]
 
--- /dev/null
+++ b/tests/routed/test_pool.py
@@ -0,0 +1,125 @@
+"""Which upstream takes a request."""
+
+from typing import Any
+
+import pytest
+
+from borageramp_core import Result
+from borageramp_core.routing import ServicePool
+from tests.lib.routed import (
+    AWAY,
+    make_cold,
+    make_pool,
+    make_registration,
+    make_report,
+    make_wanted,
+)
+
+
+def choose(pool: ServicePool, **fields: Any) -> str:
+    chosen = pool.choose(make_wanted(**fields), now_s=1.0)
+    return "" if chosen is None else chosen.view.registration.id
+
+
+def report(pool: ServicePool, name: str, **fields: Any) -> None:
+    pool.on_report(pool.views[name], make_report(**fields), now_s=1.0)
+
+
+def test_the_upstream_of_usual_pace_is_chosen() -> None:
+    pool = make_pool(make_registration("slow"), make_registration("fast"))
+    report(pool, "slow", pace=7.0)
+    report(pool, "fast", pace=1.0)
+    assert choose(pool) == "fast"
+
+
+def test_a_full_upstream_of_usual_pace_loses_to_a_free_slower_one() -> None:
+    pool = make_pool(make_registration("full"), make_registration("free"))
+    report(pool, "full", in_flight=8)
+    report(pool, "free", pace=1.5)
+    assert choose(pool) == "free"
+
+
+def test_near_upstreams_win_ties() -> None:
+    pool = make_pool(make_registration("far", data_centre=AWAY), make_registration())
+    report(pool, "far")
+    report(pool, "u1")
+    assert choose(pool) == "u1"
+
+
+@pytest.mark.parametrize("fields", [{"leaving": True}, {"data_centre": AWAY}])
+def test_upstreams_that_leave_or_are_out_get_nothing(fields: dict[str, Any]) -> None:
+    pool = make_pool(make_registration(**fields), out=(AWAY,))
+    assert choose(pool) == ""
+
+
+def test_an_address_that_has_another_owner_gets_nothing() -> None:
+    pool = make_pool(make_registration())
+    report(pool, "u1", start_id="u2")
+    assert choose(pool) == ""
+
+
+def test_a_silent_upstream_is_passed_over_while_there_is_another() -> None:
+    pool = make_pool(make_registration("silent"), make_registration("far"))
+    report(pool, "silent")
+    report(pool, "far", pace=3.0)
+    pool.views["silent"].on_silence(now_s=1.0)
+    assert choose(pool) == "far"
+    assert choose(pool, excluded={"far"}) == "silent"
+
+
+def test_upstreams_that_have_had_the_request_are_not_chosen() -> None:
+    pool = make_pool(make_registration())
+    assert choose(pool, excluded={"u1"}) == ""
+
+
+def test_a_queue_over_its_limit_takes_nothing() -> None:
+    pool = make_pool(make_registration())
+    report(pool, "u1", in_flight=8)
+    assert choose(pool, queue_slots=1.0) == ""
+    assert choose(pool, queue_slots=2.0) == "u1"
+
+
+def test_a_failing_upstream_is_ejected_and_tried_again() -> None:
+    pool = make_pool(make_registration("bad"), make_registration("good"))
+    bad = pool.views["bad"]
+    for _ in range(3):
+        pool.start(bad, now_s=1.0)
+        pool.finish(bad, Result.ERROR, now_s=1.0)
+    report(pool, "good", pace=5.0)
+    assert choose(pool) == "good"
+    later = pool.usable(make_wanted(), now_s=10.0)
+    assert {v.registration.id for v in later} == {"bad", "good"}
+
+
+def test_a_cold_upstream_takes_no_more_than_its_allowance() -> None:
+    pool = make_pool(make_registration(warmup_left_s=3.0), cold=make_cold(14, own=0))
+    view = pool.views["u1"]
+    sent = sum(pool.start(view, now_s=step * 0.01) for step in range(100))
+    assert sent <= 3
+
+
+def test_an_upstream_that_starts_anew_is_forgotten() -> None:
+    pool = make_pool(make_registration(started_ms=1))
+    before = pool.views["u1"]
+    before.on_silence(now_s=1.0)
+    gone = pool.apply(
+        [make_registration(started_ms=2)],
+        settings=None,
+        data_centres_out=(),
+        now_s=1.0,
+    )
+    assert gone == ["u1"]
+    assert pool.views["u1"] is not before
+
+
+def test_probes_go_to_the_best_known_and_one_at_random() -> None:
+    pool = make_pool(*(make_registration(f"u{i}") for i in range(10)))
+    for i in range(10):
+        report(pool, f"u{i}", pace=1.0 if i < 2 else 7.0)
+    asked: set[str] = set()
+    for _ in range(100):
+        views = pool.to_probe(make_wanted(), count=3, now_s=1.0)
+        names = [v.registration.id for v in views]
+        assert {"u0", "u1"} <= set(names)
+        asked |= set(names)
+    assert len(asked) == 10
--- /dev/null
+++ b/tests/routed/test_store_client.py
@@ -0,0 +1,146 @@
+"""The client of the platform's store, against a fake of it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from borageramp_core import (
+    HistoryLostError,
+    LeaseLostError,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+)
+from borageramp_entry.routed import Commit, Condition, Put
+from borageramp_platform import store as store_module
+from borageramp_platform.store import KeyValueStore
+from tests.lib.platform_store import FakeStore, running_store
+
+
+def with_store(test: Callable[[FakeStore, KeyValueStore], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with running_store() as fake:
+            client = KeyValueStore(address=fake.address)
+            try:
+                async with asyncio.timeout(20):
+                    await test(fake, client)
+            finally:
+                client.close()
+
+    asyncio.run(run())
+
+
+def put(key: str, value: bytes, *, lease: int = 0, at: int | None = None) -> Commit:
+    conditions = () if at is None else (Condition(key=key, revision=at),)
+    return Commit(
+        conditions=conditions, puts=(Put(key=key, value=value, lease_id=lease),)
+    )
+
+
+def test_all_pages_are_read() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        for i in range(8):
+            fake.put(f"servers/{i}", b"x")
+        fake.put("zz", b"y")
+        listing = await client.read("servers/")
+        assert [i.key for i in listing.items] == [f"servers/{i}" for i in range(8)]
+        assert listing.revision == fake.revision
+
+    with_store(test)
+
+
+def test_a_watch_tells_writes_and_removals_in_order() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        start = fake.revision
+        fake.put("a", b"1")
+        fake.remove("a")
+        changes = client.watch("", from_revision=start + 1)
+        change = await anext(changes)
+        assert [i.value for i in change.written] == [b"1"]
+        assert change.deleted == ("a",)
+        assert change.revision == fake.revision
+        later = asyncio.ensure_future(anext(changes))
+        await asyncio.sleep(0.05)
+        fake.put("b", b"2")
+        assert [i.key for i in (await later).written] == ["b"]
+
+    with_store(test)
+
+
+def test_a_watch_from_dropped_history_fails() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        waiting = asyncio.ensure_future(
+            anext(client.watch("", from_revision=fake.revision + 1))
+        )
+        await asyncio.sleep(0.05)
+        fake.revision += 5
+        fake.forget_history()
+        with pytest.raises(HistoryLostError):
+            await waiting
+
+    with_store(test)
+
+
+@pytest.mark.parametrize("fault", ["busy", "many", "silent", "reset"])
+def test_a_read_that_fails_says_so(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(store_module, "TIMEOUT_S", 0.2)
+
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.fault = fault
+        with pytest.raises(StoreUnavailableError):
+            await client.read_key("a")
+        fake.fault = ""
+        assert (await client.read_key("a")).items == ()
+
+    with_store(test)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [
+        ("busy", StoreUnavailableError),
+        ("many", StoreUnavailableError),
+        ("silent", OutcomeUnknownError),
+        ("reset", OutcomeUnknownError),
+        ("lost", OutcomeUnknownError),
+    ],
+)
+def test_a_write_tells_whether_it_may_have_been_done(
+    fault: str, error: type[Exception], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_module, "TIMEOUT_S", 0.2)
+
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.fault = fault
+        with pytest.raises(error):
+            await client.commit([put("a", b"1")])
+        assert ("a" in fake.items) == (fault == "lost")
+
+    with_store(test)
+
+
+def test_conditions_and_leases() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        lease = await client.grant_lease(3.0)
+        (done,) = await client.commit([put("a", b"1", lease=lease, at=0)])
+        assert done.succeeded and done.revision == fake.revision
+        (refused,) = await client.commit([put("a", b"2", at=0)])
+        assert not refused.succeeded
+        assert [i.value for i in refused.found] == [b"1"]
+        assert await client.keep_lease(lease)
+        await client.revoke_lease(lease)
+        assert fake.items == {}
+        assert not await client.keep_lease(lease)
+        with pytest.raises(LeaseLostError):
+            await client.commit([put("a", b"1", lease=lease)])
+
+    with_store(test)
+
+
+def test_a_value_that_is_not_base64_is_left_to_the_reader() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.put("a", b"1")
+        fake.items["a"]["value"] = "***"
+        assert (await client.read_key("a")).items[0].value == b""
+
+    with_store(test)
--- a/tools/check.py
+++ b/tools/check.py
@@ -102,7 +102,7 @@
     if "static" in chosen:
         static(tally, "format", "ruff", "format", "--check", ".")
         static(tally, "lint", "ruff", "check", ".")
-        static(tally, "types", "mypy", "packages", "tests", "tools")
+        static(tally, "types", "mypy", "packages", "platform", "tests", "tools")
     if "tests" in chosen:
         pytest_step(tally, red)
     if "features" in chosen:
