Let requests wait in line at the entry, the higher ranks first

Requests queue at an upstream only as far as its slots stay busy, and where the answer is expected in time. Others wait at the entry in the order of their rank; one task looks for room for all of them. Not measured yet.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -43,8 +43,8 @@
     ----------
     work_s : float
         Time that it takes on an idle upstream.
-    left_s : float
-        Time until its answer is useless.
+    within_s : float
+        Time within which its answer has to be expected.
     excluded : collection of str
         Upstreams that have had it.
     queue_slots : float
@@ -52,7 +52,7 @@
     """
 
     work_s: float
-    left_s: float
+    within_s: float
     excluded: Collection[str] = ()
     queue_slots: float = 1.0
 
@@ -215,6 +215,8 @@
         if not costs:
             return None
         expected_s, _, view = min(costs, key=lambda item: item[:2])
+        if expected_s > wanted.within_s:
+            return None
         return Chosen(view=view, expected_s=expected_s, candidates=len(compared))
 
     def is_good(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
@@ -271,6 +273,10 @@
         view.load.in_flight += 1
         return True
 
+    def give_back(self, view: UpstreamView) -> None:
+        """Take back a request that was counted and not sent."""
+        view.load.in_flight -= 1
+
     def finish(self, view: UpstreamView, result: Result, *, now_s: float) -> bool:
         """Count the end of a request; tell whether the upstream was ejected."""
         view.load.in_flight -= 1
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -17,6 +17,7 @@
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.state import UpstreamView
 from borageramp_core._internal.routing.table import RouteTable, choose_service
+from borageramp_core._internal.routing.waiting import Patience, WaitingLine
 from borageramp_core._internal.routing.work import WorkEstimate
 from borageramp_core._internal.routing.world import World
 
@@ -28,6 +29,7 @@
     "DataCentreOut",
     "Fact",
     "Instance",
+    "Patience",
     "Registration",
     "Route",
     "RouteTable",
@@ -37,6 +39,7 @@
     "ServiceShare",
     "Unreadable",
     "UpstreamView",
+    "WaitingLine",
     "Wanted",
     "WorkEstimate",
     "World",
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -1,7 +1,6 @@
 """Takes a routed request to its answer: placement, tries, hedges."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,14 +11,9 @@
     Result,
     Verdict,
 )
-from borageramp_core.routing import (
-    Chosen,
-    Route,
-    UpstreamView,
-    Wanted,
-    retry_after_s,
-)
+from borageramp_core.routing import Chosen, Patience, Route, retry_after_s
 from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.placing import Placer, Seeker
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
 from borageramp_entry._internal.routed.tries import RoutedAnswer, RoutedTry
@@ -30,13 +24,6 @@
 
 _log = get_logger(__name__)
 
-# Upstreams asked before a try is placed.
-PROBES = 3
-# Longest wait for their answers.
-PROBE_WAIT_S = 0.02
-# Share of the objective for which a request may wait for room.
-HOLD_SHARE = 0.25
-HOLD_STEP_S = 0.01
 # Less time than this, in multiples of the work, is no use to another try.
 MIN_LEFT_SHARE = 0.7
 
@@ -96,6 +83,21 @@
         self.rng = rng
         self.clock = clock
 
+        self._placers: dict[str, Placer] = {}
+
+    def placer(self, service: str) -> Placer:
+        """Return the placer of a service."""
+        placer = self._placers.get(service)
+        if placer is None:
+            placer = Placer(
+                pool=self.pools.pool(service),
+                prober=self.prober,
+                rng=self.rng,
+                clock=self.clock,
+            )
+            self._placers[service] = placer
+        return placer
+
     async def run(self, request: RoutedRequest) -> RoutedAnswer:
         """Return the answer to a request.
 
@@ -119,7 +121,8 @@
         self._request = request
         self._caller = request.caller
         self._route = request.route
-        self._pool = parts.pools.pool(request.caller.service)
+        self._placer = parts.placer(request.caller.service)
+        self._pool = self._placer.pool
         self._repeats = parts.pools.repeats(request.caller.service)
         self._work = parts.pools.work(request.route)
         self._open: dict[Running, RoutedTry] = {}
@@ -141,8 +144,7 @@
         self._open.clear()
 
     async def to_end(self) -> RoutedAnswer:
-        hold_s = HOLD_SHARE * self._route.objective_s
-        chosen = await self._place(hold_s=hold_s)
+        chosen = await self._placer.place(self._seeker(), wait=True)
         if chosen is None:
             raise self._no_room()
         self._start(chosen)
@@ -220,68 +222,28 @@
             return False
         if not self._repeats.spend():
             return False
-        chosen = await self._place(hold_s=0.0)
+        # While another try is under way, this one takes what there is.
+        chosen = await self._placer.place(self._seeker(), wait=not self._open)
         if chosen is None:
             self._repeats.give_back()
             return False
         self._start(chosen)
         return True
 
-    def _wanted(self) -> Wanted:
-        return Wanted(
+    def _seeker(self) -> Seeker:
+        patience = Patience.of(
+            self._route,
             work_s=self._work.mean_s,
-            left_s=self._left_s,
-            excluded=self._excluded,
+            arrived_at_s=self._request.arrived_at_s,
+            deadline_s=self._caller.deadline_s,
+        )
+        return Seeker(
+            patience=patience,
+            rank=self._route.rank,
+            excluded=frozenset(self._excluded),
+            # What runs once goes only where the upstream has just answered.
+            fresh_only=not self._route.idempotent,
         )
-
-    async def _place(self, *, hold_s: float) -> Chosen | None:
-        """Choose an upstream; waits for room, within a time."""
-        until_s = self._parts.clock() + min(hold_s, self._left_s)
-        while True:
-            wanted = self._wanted()
-            views = self._pool.to_probe(wanted, count=PROBES, now_s=self._parts.clock())
-            await self._ask(views, wanted)
-            chosen = self._choose(wanted)
-            if chosen is not None:
-                return chosen
-            if self._parts.clock() >= until_s:
-                return None
-            await asyncio.sleep(HOLD_STEP_S)
-
-    def _choose(self, wanted: Wanted) -> Chosen | None:
-        now_s = self._parts.clock()
-        chosen = self._pool.choose(wanted, now_s=now_s, fresh_only=True)
-        if chosen is None and self._route.idempotent:
-            chosen = self._pool.choose(wanted, now_s=now_s)
-        if chosen is None or not self._pool.start(chosen.view, now_s=now_s):
-            return None
-        return chosen
-
-    async def _ask(self, views: list[UpstreamView], wanted: Wanted) -> None:
-        """Wait until one of the upstreams asked is good, or all have answered."""
-        probes = self._parts.prober.start(views)
-        if not probes:
-            return
-        enough = asyncio.get_running_loop().create_future()
-        left = len(probes)
-
-        def answered(probe: "asyncio.Task[UpstreamView]") -> None:
-            nonlocal left
-            left -= 1
-            if not enough.done() and (left == 0 or self._is_good(probe, wanted)):
-                enough.set_result(None)
-
-        for probe in probes:
-            probe.add_done_callback(answered)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(PROBE_WAIT_S):
-                await enough
-
-    def _is_good(self, probe: "asyncio.Task[UpstreamView]", wanted: Wanted) -> bool:
-        if probe.cancelled() or probe.exception() is not None:
-            return False
-        now_s = self._parts.clock()
-        return self._pool.is_good(probe.result(), wanted, now_s=now_s)
 
     def _start(self, chosen: Chosen) -> None:
         started = RoutedTry(
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -0,0 +1,199 @@
+"""Finds upstreams for the requests of one service, in their order."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from borageramp_core.routing import (
+    Chosen,
+    Patience,
+    ServicePool,
+    UpstreamView,
+    WaitingLine,
+    Wanted,
+)
+from borageramp_entry._internal.routed.prober import Probe, Prober
+
+__all__ = ["Placer", "Seeker"]
+
+# Upstreams asked before a request is placed.
+PROBES = 3
+# Longest wait for their answers.
+PROBE_WAIT_S = 0.02
+# Time after which waiting requests look for room again.
+STEP_S = 0.015
+# More places than this are looked for in one round only if the last was found.
+MISSES_A_ROUND = 2
+
+
+@dataclass(kw_only=True, slots=True)
+class Seeker:
+    """A request that seeks an upstream.
+
+    Attributes
+    ----------
+    patience : Patience
+        How it waits.
+    rank : int
+        Priority; 0 is the highest.
+    excluded : frozenset of str
+        Upstreams that have had it.
+    fresh_only : bool
+        Whether it goes only to an upstream that has just reported.
+    """
+
+    patience: Patience
+    rank: int
+    excluded: frozenset[str]
+    fresh_only: bool
+
+    def wanted(self, *, now_s: float) -> Wanted:
+        """Return what it accepts now."""
+        return self.patience.wanted(excluded=self.excluded, now_s=now_s)
+
+
+class Placer:
+    """Places the requests of one service.
+
+    A request that finds no room waits in line. One task looks for room for
+    all of them, so that the cost of waiting doesn't grow with their number.
+
+    Parameters
+    ----------
+    pool : ServicePool
+        The upstreams.
+    prober : Prober
+        Asks them for their load.
+    rng : random.Random
+        Source of randomness.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: ServicePool,
+        prober: Prober,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self.pool = pool
+        self._prober = prober
+        self._rng = rng
+        self._clock = clock
+        self._line: WaitingLine[tuple[Seeker, asyncio.Future[Chosen | None]]] = (
+            WaitingLine()
+        )
+        self._serving: asyncio.Task[None] | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._line)
+
+    async def place(self, seeker: Seeker, *, wait: bool) -> Chosen | None:
+        """Place a request; ``None`` if it finds no room.
+
+        Parameters
+        ----------
+        seeker : Seeker
+            The request.
+        wait : bool
+            Whether it waits for room.
+        """
+        if not self._line:
+            chosen = await self._find(seeker)
+            if chosen is not None:
+                return chosen
+        if not wait or self._clock() >= seeker.patience.until_s:
+            return None
+        return await self._wait(seeker)
+
+    async def _wait(self, seeker: Seeker) -> Chosen | None:
+        placed: asyncio.Future[Chosen | None]
+        placed = asyncio.get_running_loop().create_future()
+        self._line.push((seeker, placed), rank=seeker.rank)
+        if self._serving is None or self._serving.done():
+            self._serving = asyncio.ensure_future(self._serve())
+        try:
+            return await placed
+        except asyncio.CancelledError:
+            # It may have been given a place in the same instant.
+            if placed.done() and not placed.cancelled():
+                self._give_back(placed.result())
+            raise
+
+    def _give_back(self, chosen: Chosen | None) -> None:
+        if chosen is not None:
+            self.pool.give_back(chosen.view)
+
+    async def _serve(self) -> None:
+        while self._line:
+            await asyncio.sleep(STEP_S * (0.5 + self._rng.random()))
+            await self._round()
+
+    async def _round(self) -> None:
+        misses = 0
+        for seeker, placed in self._line.take_all():
+            if placed.done():
+                continue
+            chosen = None
+            if misses < MISSES_A_ROUND:
+                chosen = await self._find(seeker)
+                misses += chosen is None
+            self._settle(seeker, placed, chosen)
+
+    def _settle(
+        self,
+        seeker: Seeker,
+        placed: "asyncio.Future[Chosen | None]",
+        chosen: Chosen | None,
+    ) -> None:
+        if placed.done():
+            self._give_back(chosen)
+        elif chosen is not None or self._clock() >= seeker.patience.until_s:
+            placed.set_result(chosen)
+        else:
+            self._line.push((seeker, placed), rank=seeker.rank)
+
+    async def _find(self, seeker: Seeker) -> Chosen | None:
+        now_s = self._clock()
+        wanted = seeker.wanted(now_s=now_s)
+        views = self.pool.to_probe(wanted, count=PROBES, now_s=now_s)
+        await self._ask(views, wanted)
+        now_s = self._clock()
+        wanted = seeker.wanted(now_s=now_s)
+        chosen = self.pool.choose(wanted, now_s=now_s, fresh_only=True)
+        if chosen is None and not seeker.fresh_only:
+            chosen = self.pool.choose(wanted, now_s=now_s)
+        if chosen is None or not self.pool.start(chosen.view, now_s=now_s):
+            return None
+        return chosen
+
+    async def _ask(self, views: list[UpstreamView], wanted: Wanted) -> None:
+        """Wait until one of the upstreams asked is good, or all have answered."""
+        probes = self._prober.start(views)
+        if not probes:
+            return
+        enough = asyncio.get_running_loop().create_future()
+        left = len(probes)
+
+        def answered(probe: Probe) -> None:
+            nonlocal left
+            left -= 1
+            if not enough.done() and (left == 0 or self._is_good(probe, wanted)):
+                enough.set_result(None)
+
+        for probe in probes:
+            probe.add_done_callback(answered)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PROBE_WAIT_S):
+                await enough
+
+    def _is_good(self, probe: Probe, wanted: Wanted) -> bool:
+        if probe.cancelled() or probe.exception() is not None:
+            return False
+        return self.pool.is_good(probe.result(), wanted, now_s=self._clock())
--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -8,7 +8,7 @@
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
 
-__all__ = ["Prober"]
+__all__ = ["Probe", "Prober"]
 
 Probe = asyncio.Task[UpstreamView]
 
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -103,7 +103,7 @@
 
 def make_wanted(**fields: Any) -> Wanted:
     """Return a request of 0.1 s of work."""
-    values: dict[str, Any] = {"work_s": 0.1, "left_s": 1.0, **fields}
+    values: dict[str, Any] = {"work_s": 0.1, "within_s": 10.0, **fields}
     return Wanted(**values)
 
 
