Judge the time to an answer apart from failures, start faster

A shed is no failure now, the penalty only orders upstreams, and a request that was shed with room elsewhere may come back almost at once.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -175,9 +175,11 @@
         usable = self.usable(wanted, now_s=now_s)
         if len(usable) <= count:
             return usable
-        cost = self._costs(usable, wanted, now_s=now_s)
+        expected = self._expectations(usable, wanted, now_s=now_s)
         spread = {
-            v.registration.id: cost(v) * (1.0 + JITTER * self._rng.random())
+            v.registration.id: self._penalty(v)
+            * expected(v)
+            * (1.0 + JITTER * self._rng.random())
             for v in usable
         }
         usable.sort(key=lambda v: spread[v.registration.id])
@@ -206,18 +208,21 @@
         usable = self.usable(wanted, now_s=now_s)
         fresh = [v for v in usable if v.report_age_s(now_s=now_s) <= FRESH_S]
         compared = fresh or ([] if fresh_only else usable)
-        cost = self._costs(compared, wanted, now_s=now_s)
+        expected = self._expectations(compared, wanted, now_s=now_s)
         costs = [
-            (cost(view), self._rng.random(), view)
+            (self._penalty(view) * expected(view), self._rng.random(), view)
             for view in compared
             if self._has_room(view, wanted, now_s=now_s)
+            and expected(view) <= wanted.within_s
         ]
         if not costs:
             return None
-        expected_s, _, view = min(costs, key=lambda item: item[:2])
-        if expected_s > wanted.within_s:
-            return None
-        return Chosen(view=view, expected_s=expected_s, candidates=len(compared))
+        _, _, view = min(costs, key=lambda item: item[:2])
+        return Chosen(
+            view=view,
+            expected_s=expected(view),
+            candidates=len(compared),
+        )
 
     def is_good(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
         """Tell whether an upstream is as good as one may hope for.
@@ -241,7 +246,7 @@
         requests = view.load.estimate(usual_others=0.0, now_s=now_s)
         return requests < view.load.slots * (1.0 + wanted.queue_slots)
 
-    def _costs(
+    def _expectations(
         self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
     ) -> Callable[[UpstreamView], float]:
         """Return the expected time to an answer, by upstream."""
@@ -249,20 +254,22 @@
         usual_pace = sum(v.pace for v in views) / number
         usual_others = sum(v.load.others for v in views) / number
 
-        def cost(view: UpstreamView) -> float:
+        def expected_s(view: UpstreamView) -> float:
             pace = view.expected_pace(usual=usual_pace, now_s=now_s)
             requests = view.load.estimate(usual_others=usual_others, now_s=now_s)
-            expected_s = wanted.work_s * pace
-            expected_s *= max(1.0, (requests + 1.0) / view.load.slots)
-            success = self.outliers.state(view.upstream.id).success
-            expected_s *= 1.0 + FAILURE_FACTOR * (1.0 - success)
-            if view.ill:
-                expected_s *= ILL_FACTOR
-            if view.registration.data_centre != self._data_centre:
-                expected_s *= REMOTE_FACTOR
-            return expected_s
-
-        return cost
+            return wanted.work_s * pace * max(1.0, (requests + 1.0) / view.load.slots)
+
+        return expected_s
+
+    def _penalty(self, view: UpstreamView) -> float:
+        """Return how much an upstream stands back behind others, as a factor."""
+        success = self.outliers.state(view.upstream.id).success
+        penalty = 1.0 + FAILURE_FACTOR * (1.0 - success)
+        if view.ill:
+            penalty *= ILL_FACTOR
+        if view.registration.data_centre != self._data_centre:
+            penalty *= REMOTE_FACTOR
+        return penalty
 
     def start(self, view: UpstreamView, *, now_s: float) -> bool:
         """Count a request to an upstream; tell whether it may still be sent."""
@@ -284,7 +291,8 @@
         if result is Result.ANSWERED:
             self.outliers.on_success(name)
             return False
-        if result is Result.CANCELLED:
+        if result in (Result.CANCELLED, Result.SHED):
+            # Who sheds says so at once, and may well take the next request.
             return False
         if result is Result.UNREACHABLE:
             view.on_silence(now_s=now_s)
--- a/packages/core/src/borageramp_core/_internal/routing/retry_after.py
+++ b/packages/core/src/borageramp_core/_internal/routing/retry_after.py
@@ -5,7 +5,7 @@
 __all__ = ["retry_after_s"]
 
 # Callers that come back at once find the same state.
-MIN_S = 0.05
+MIN_S = 0.01
 # Share by which times are spread, so that callers don't return together.
 SPREAD = 0.5
 
--- a/packages/entry/src/borageramp_entry/__init__.py
+++ b/packages/entry/src/borageramp_entry/__init__.py
@@ -1,5 +1,11 @@
 """The process of a borageramp entry instance."""
 
-from borageramp_entry._internal.main import main
-
 __all__ = ["main"]
+
+
+def main() -> None:
+    """Run the command ``borageramp-entry``."""
+    # Imported late: an adapter to a platform needs other parts only.
+    from borageramp_entry._internal.main import main as run
+
+    run()
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.server import Site
@@ -18,7 +18,6 @@
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.border.http import DrainingSite
 from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.metrics import Metrics
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.front import FrontResource, FrontSite
 from borageramp_entry._internal.routed.instances import InstanceList
@@ -36,6 +35,9 @@
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
 from borageramp_entry._internal.store.base import Item
 
+if TYPE_CHECKING:
+    from borageramp_entry._internal.metrics import Metrics
+
 __all__ = ["RoutedApp"]
 
 _log = get_logger(__name__)
@@ -44,6 +46,7 @@
 # Idle connections to upstreams are closed before most upstreams do so.
 UPSTREAM_IDLE_S = 8.0
 STOP_STEP_S = 0.05
+METRICS_AFTER_S = 2.0
 
 
 class RoutedApp:
@@ -64,7 +67,8 @@
         self._clock = asyncio.get_running_loop().time
         self._rng = random.Random()
         self._closing = False
-        self._background: list[asyncio.Task[None]] = []
+        self._background: list[asyncio.Task[Any]] = []
+        self._listing_task: asyncio.Task[None]
         settings = self._settings
         self._own = Instance(
             name=settings.name,
@@ -73,11 +77,9 @@
             caller_address=settings.caller_address,
             check_address=settings.check_address or settings.caller_address,
         )
-        self._metrics = Metrics(name=settings.name, data_centre=settings.data_centre)
         self._store = platform.open_store(settings)
         self._build_knowledge()
         self._build_serving()
-        self._add_gauges()
 
     def _build_knowledge(self) -> None:
         settings = self._settings
@@ -140,15 +142,29 @@
             world=self._knowledge.world,
             dispatcher=dispatcher,
             dialect=self._platform.callers,
-            metrics=self._metrics,
             closing=lambda: self._closing,
             rng=self._rng,
             clock=self._clock,
         )
         self._site = FrontSite(self._front)
 
-    def _add_gauges(self) -> None:
-        gauge = self._metrics.gauge
+    async def _serve_metrics(self) -> None:
+        """Begin to measure, once there has been time to take up work.
+
+        Loading the instruments takes a tenth of the time of a start, and
+        callers wait for that.
+        """
+        await asyncio.sleep(METRICS_AFTER_S)
+        from borageramp_entry._internal.metrics import Metrics
+
+        metrics = Metrics(name=self._own.name, data_centre=self._own.data_centre)
+        self._add_gauges(metrics)
+        self._front.metrics = metrics
+        site = DrainingSite(MetricsResource(metrics=metrics))
+        self._listen_at(self._settings.metrics_address, site)
+
+    def _add_gauges(self, metrics: "Metrics") -> None:
+        gauge = metrics.gauge
         gauge("borageramp_in_flight", "Requests under way.", self._in_flight)
         gauge(
             "borageramp_store_age",
@@ -223,22 +239,28 @@
             Set when the entry has to stop.
         """
         port = self._listen()
+        self._listing_task = asyncio.ensure_future(self._listing.run())
+        self._background.append(self._listing_task)
         for work in (
             self._knowledge.run(),
-            self._listing.run(),
             self._instances.run(),
+            self._serve_metrics(),
         ):
             self._background.append(asyncio.ensure_future(work))
         _log.info("started", instance=self._own.name, incarnation=self._own.incarnation)
-        stopped = asyncio.ensure_future(stop.wait())
-        await asyncio.wait(
-            [stopped, *self._background], return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in self._background:
-            if task.done():
-                task.result()
+        await self._until(stop)
         await self._stop(port)
 
+    async def _until(self, stop: asyncio.Event) -> None:
+        """Wait for the order to stop; raises what ends a task before that."""
+        running = {asyncio.ensure_future(stop.wait()), *self._background}
+        while not stop.is_set():
+            done, running = await asyncio.wait(
+                running, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+
     def _listen(self) -> IListeningPort:
         settings = self._settings
         dialect = self._platform.directory
@@ -252,8 +274,6 @@
         readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
         self._listen_at(settings.directory_address, DrainingSite(directory))
         self._listen_at(settings.check_address, DrainingSite(readiness))
-        metrics = DrainingSite(MetricsResource(metrics=self._metrics))
-        self._listen_at(settings.metrics_address, metrics)
         port = self._listen_at(settings.caller_address, self._site)
         assert port is not None
         return port
@@ -271,7 +291,7 @@
         started_at_s = self._clock()
         self._closing = True
         _log.info("stopping", in_flight=self._front.in_flight)
-        self._background[1].cancel()
+        self._listing_task.cancel()
         withdrawing = asyncio.ensure_future(self._listing.withdraw())
         # Callers keep their addresses for a while; until then they are served.
         await asyncio.sleep(self._settings.leave_s)
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -275,7 +275,7 @@
         if self._failure is not None:
             return self._failure
         if self._verdict is Verdict.NOT_RUN:
-            raise self._no_room()
+            raise self._no_room() if self._placer.waiting else self._shed()
         if self._last is Result.TIMED_OUT:
             raise self._given_up(Reason.DEADLINE_PASSED)
         raise self._given_up(Reason.UPSTREAM_FAILED)
@@ -288,7 +288,7 @@
             verdict=verdict,
             reason=reason,
             detail=f"the last of {len(self._excluded)} tries ended as {self._last}",
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(self._work.mean_s),
         )
 
     def _no_room(self) -> RefusedError:
@@ -296,12 +296,24 @@
             verdict=Verdict.NOT_RUN,
             reason=Reason.OVERLOADED if self._pool.views else Reason.NO_UPSTREAM,
             detail=f"no upstream of {self._pool.name} has room",
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(self._work.mean_s),
+        )
+
+    def _shed(self) -> RefusedError:
+        """Return the refusal of a request that upstreams with room shed.
+
+        The next one may well be taken, so that the caller need not wait.
+        """
+        return RefusedError(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.UPSTREAM_SHED,
+            detail=f"{len(self._excluded)} upstreams shed the request",
+            retry_after_s=self._retry_after_s(0.0),
         )
 
-    def _retry_after_s(self) -> float:
+    def _retry_after_s(self, wait_s: float) -> float:
         return retry_after_s(
-            wait_s=self._work.mean_s,
+            wait_s=wait_s,
             rank=self._route.rank,
             left_s=self._left_s,
             rng=self._parts.rng,
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from twisted.web.server import Request
 
@@ -11,13 +11,15 @@
 from borageramp_core.routing import CallerLimits, Route, World, choose_service
 from borageramp_entry._internal.border.http import BoundedRequest, DrainingSite, Leaf
 from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.metrics import Metrics
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
 from borageramp_entry._internal.routed.ports import CallerDialect
 from borageramp_entry._internal.routed.tries import RoutedAnswer
 from borageramp_entry._internal.serving.requests import CallerRequest, Headers
 from borageramp_entry._internal.serving.upstreams import TryFailedError
 
+if TYPE_CHECKING:
+    from borageramp_entry._internal.metrics import Metrics
+
 __all__ = ["FrontResource", "FrontSite"]
 
 _log = get_logger(__name__)
@@ -54,14 +56,17 @@
         Takes requests to their answers.
     dialect : CallerDialect
         Headers of callers.
-    metrics : Metrics
-        Instruments.
     closing : callable
         Tells whether this instance is stopping.
     rng : random.Random
         Source of randomness.
     clock : callable
         Returns the present time in seconds.
+
+    Attributes
+    ----------
+    metrics : Metrics or None
+        Instruments; ``None`` for a short time after the start.
     """
 
     def __init__(
@@ -70,7 +75,6 @@
         world: World,
         dispatcher: RoutedDispatcher,
         dialect: CallerDialect,
-        metrics: Metrics,
         closing: Callable[[], bool],
         rng: random.Random,
         clock: Callable[[], float],
@@ -79,7 +83,7 @@
         self._world = world
         self._dispatcher = dispatcher
         self._dialect = dialect
-        self._metrics = metrics
+        self.metrics: Metrics | None = None
         self._closing = closing
         self._rng = rng
         self._clock = clock
@@ -164,7 +168,9 @@
 
     def count(self, routed: RoutedRequest | None, outcome: str, took_s: float) -> None:
         """Count a request that got its final answer."""
-        self._metrics.request(
+        if self.metrics is None:
+            return
+        self.metrics.request(
             service=routed.caller.service if routed else "",
             class_name=routed.route.name if routed else "",
             outcome=outcome,
--- a/packages/entry/src/borageramp_entry/_internal/routed/pages.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pages.py
@@ -2,14 +2,17 @@
 
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from twisted.web.server import Request
 
 from borageramp_entry._internal.border.http import Leaf
-from borageramp_entry._internal.metrics import Metrics
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.ports import DirectoryDialect
 
+if TYPE_CHECKING:
+    from borageramp_entry._internal.metrics import Metrics
+
 __all__ = ["DirectoryResource", "MetricsResource", "ReadinessResource"]
 
 MAX_ADDRESSES = 64
@@ -105,7 +108,7 @@
         Instruments.
     """
 
-    def __init__(self, *, metrics: Metrics) -> None:
+    def __init__(self, *, metrics: "Metrics") -> None:
         super().__init__()
         self._metrics = metrics
 
