--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -5,9 +5,8 @@
 of higher rank first, and for no longer than is of use.
 """
 
-import heapq
-import itertools
-from dataclasses import dataclass, field
+from collections import defaultdict
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from borageramp_core._internal.routing.model import Route
@@ -94,30 +93,21 @@
         )
 
 
-@dataclass(order=True)
-class _Place(Generic[T]):
-    rank: int
-    number: int
-    waiter: T = field(compare=False)
-
-
 class WaitingLine(Generic[T]):
     """Waiting requests, the highest rank first, then in their order."""
 
     def __init__(self) -> None:
-        self._places: list[_Place[T]] = []
-        self._numbers = itertools.count()
+        self._lanes: defaultdict[int, list[T]] = defaultdict(list)
 
     def __len__(self) -> int:
-        return len(self._places)
+        return sum(len(lane) for lane in self._lanes.values())
 
     def push(self, waiter: T, *, rank: int) -> None:
         """Add a request."""
-        place = _Place(rank=rank, number=next(self._numbers), waiter=waiter)
-        heapq.heappush(self._places, place)
+        self._lanes[rank].append(waiter)
 
     def take_all(self) -> list[T]:
         """Take out all requests in the order in which they go."""
-        places = sorted(self._places)
-        self._places = []
-        return [place.waiter for place in places]
+        taken = [w for rank in sorted(self._lanes) for w in self._lanes[rank]]
+        self._lanes.clear()
+        return taken
