--- a/tests/routed/test_heavy_days.py
+++ b/tests/routed/test_heavy_days.py
@@ -5,8 +5,15 @@
 
 import random
 
-from borageramp_core.routing import ServicePool
-from tests.lib.routed import make_pool, make_registration, make_report, make_wanted
+from borageramp_core import Result
+from borageramp_core.routing import Patience, ServicePool
+from tests.lib.routed import (
+    make_pool,
+    make_registration,
+    make_report,
+    make_route,
+    make_wanted,
+)
 
 UPSTREAMS = 16
 SLOW_PACE = 7.0
@@ -55,3 +62,41 @@
     paces = [fleet.place(probes=4, now_s=i * 0.05) for i in range(2000)]
     # Four at random are all slow once in sixteen times.
     assert sum(p > 1.0 for p in paces) / len(paces) < 0.5**4
+
+
+def test_more_requests_than_slots_leave_short_queues_at_upstreams() -> None:
+    """A burst of 40 requests meets 16 slots: the rest is left to wait here."""
+    pool = make_pool(*(make_registration(f"u{i}", slots=4) for i in range(4)))
+    patience = Patience.of(
+        make_route(objective_s=0.3, rank=2),
+        work_s=0.1,
+        arrived_at_s=0.0,
+        deadline_s=2.0,
+    )
+    placed = 0
+    for _ in range(40):
+        wanted = patience.wanted(excluded=frozenset(), now_s=0.0)
+        for view in pool.to_probe(wanted, count=3, now_s=0.0):
+            report = make_report(view.load.in_flight)
+            pool.on_report(view, report, now_s=0.0)
+        chosen = pool.choose(wanted, now_s=0.0, fresh_only=True)
+        if chosen is not None:
+            assert pool.start(chosen.view, now_s=0.0)
+            assert chosen.expected_s <= 0.3
+            placed += 1
+    assert 16 <= placed <= 24
+
+
+def test_all_upstreams_shed_half_of_the_requests() -> None:
+    """Sheds don't eject an upstream, nor make its answers look late."""
+    pool = make_pool(*(make_registration(f"u{i}") for i in range(4)))
+    rng = random.Random(1)
+    for i in range(200):
+        wanted = make_wanted(within_s=0.25)
+        for view in pool.to_probe(wanted, count=3, now_s=i * 0.01):
+            pool.on_report(view, make_report(), now_s=i * 0.01)
+        chosen = pool.choose(wanted, now_s=i * 0.01, fresh_only=True)
+        assert chosen is not None
+        pool.start(chosen.view, now_s=i * 0.01)
+        result = Result.SHED if rng.random() < 0.55 else Result.ANSWERED
+        assert not pool.finish(chosen.view, result, now_s=i * 0.01)
