--- a/tests/routed/test_http_client.py
+++ b/tests/routed/test_http_client.py
@@ -14,7 +14,9 @@
 )
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
-Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+EMPTY = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+Test = Callable[[HttpClient, int], Awaitable[None]]
 
 
 class Server:
@@ -50,9 +52,7 @@
             writer.close()
 
 
-def with_server(
-    server: Server, test: Callable[[HttpClient, int], Awaitable[None]]
-) -> None:
+def with_server(server: Server, test: Test) -> None:
     async def run() -> None:
         listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
         client = HttpClient(idle_s=5.0, max_idle=4)
