--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -30,6 +30,9 @@
         Time for which an idle connection is kept.
     max_idle : int
         Idle connections kept to one server.
+    watched : bool
+        Whether the system checks servers while nothing is sent, for answers
+        that may take long.
 
     Attributes
     ----------
@@ -37,7 +40,8 @@
         Connections opened.
     """
 
-    def __init__(self, *, idle_s: float, max_idle: int) -> None:
+    def __init__(self, *, idle_s: float, max_idle: int, watched: bool = False) -> None:
+        self._watched = watched
         self._idle_s = idle_s
         self._max_idle = max_idle
         self._idle: defaultdict[Place, list[HttpConnection]] = defaultdict(list)
@@ -115,7 +119,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(on_idle=on_idle), *place
+                    lambda: HttpConnection(on_idle=on_idle, watched=self._watched),
+                    *place,
                 )
         except (OSError, TimeoutError) as error:
             raise NotConnectedError(f"{place[0]}:{place[1]}: {error!r}") from error
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -135,10 +135,15 @@
     ----------
     on_idle : callable
         Gets the connection when it can carry another exchange.
+    watched : bool
+        Whether the system checks the peer while nothing is sent.
     """
 
-    def __init__(self, *, on_idle: Callable[["HttpConnection"], None]) -> None:
+    def __init__(
+        self, *, on_idle: Callable[["HttpConnection"], None], watched: bool = False
+    ) -> None:
         self._on_idle = on_idle
+        self._watched = watched
         self._transport: asyncio.Transport | None = None
         self._response: HttpResponse | None = None
         self._parser: Any = None
@@ -151,7 +156,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take in that the connection is open."""
         self._transport = cast(asyncio.Transport, transport)
-        _notice_silence(transport.get_extra_info("socket"))
+        _notice_silence(transport.get_extra_info("socket"), watched=self._watched)
 
     def start(self, data: bytes, *, bodiless: bool = False) -> HttpResponse:
         """Send a request.
@@ -271,11 +276,12 @@
             response.on_end(whole=False)
 
 
-def _notice_silence(sock: Any) -> None:
+def _notice_silence(sock: Any, *, watched: bool) -> None:
     """Have the system close a connection whose peer is silent."""
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+    if watched:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
--- /dev/null
+++ b/tests/routed/test_boundary.py
@@ -0,0 +1,38 @@
+"""The platform's names stay in its adapter, and the adapter stays small."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+MAX_ADAPTER_LINES = 1500
+# Names that only the platform uses: its variable, paths, headers and fields.
+WIRE_NAMES = re.compile(
+    r"BORAGERAMP_BOOT|/-/|\bkv-|weighted_backends|slow_start|config_version\"|"
+    r"budget_slack|ttl_s_time|path_prefix\"|"
+    r"[Bb]orageramp-(Target-Instance|Response-Signature|Not-Executed|"
+    r"Server-Load|Slow-Start|Instance-Id)",
+    re.IGNORECASE,
+)
+
+
+def sources(folder: str) -> list[Path]:
+    return sorted((ROOT / folder).rglob("*.py"))
+
+
+def test_no_other_module_knows_the_names_of_the_platform() -> None:
+    found = {
+        str(path.relative_to(ROOT)): sorted({m.group(0) for m in matches})
+        for path in sources("packages")
+        if (matches := list(WIRE_NAMES.finditer(path.read_text())))
+    }
+    assert found == {}
+
+
+def test_no_other_package_imports_the_adapter() -> None:
+    users = [p for p in sources("packages") if "borageramp_platform" in p.read_text()]
+    assert users == []
+
+
+def test_the_adapter_is_small() -> None:
+    lines = sum(len(p.read_text().splitlines()) for p in sources("platform"))
+    assert lines <= MAX_ADAPTER_LINES
