--- a/packages/core/src/borageramp_core/_internal/routing/work.py
+++ b/packages/core/src/borageramp_core/_internal/routing/work.py
@@ -9,7 +9,7 @@
 # Share of a route's objective that its work is taken to need at first.
 PRIOR_SHARE = 0.4
 # Standard deviations above the mean at which an answer is late.
-LATE_DEVIATIONS = 2.0
+LATE_DEVIATIONS = 1.5
 
 
 class WorkEstimate:
