Refuse requests that crash the upstreams that run them

Cause: a request that comes again at any instance may kill an upstream each time, and nothing stopped it. A broken connection whose upstream no longer listens makes a suspect of a request that ended without an answer; instances tell each other through the store, and three deaths condemn it for 30 s.

--- a/packages/core/src/borageramp_core/_internal/routing/model.py
+++ b/packages/core/src/borageramp_core/_internal/routing/model.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "CallerLimits",
+    "CrashSuspect",
     "DataCentreOut",
     "Fact",
     "Instance",
@@ -204,6 +205,22 @@
     data_centre: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashSuspect:
+    """A request under which upstreams died at another instance.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Name of the request.
+    upstreams : tuple of str
+        Starts of upstreams that died while they ran it.
+    """
+
+    fingerprint: str
+    upstreams: tuple[str, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unreadable:
     """An item of the store that makes no sense.
@@ -217,4 +234,6 @@
     problem: str
 
 
-Fact = RoutingConfig | Registration | Instance | DataCentreOut | Unreadable
+Fact = (
+    RoutingConfig | Registration | Instance | DataCentreOut | CrashSuspect | Unreadable
+)
--- a/packages/core/src/borageramp_core/_internal/routing/world.py
+++ b/packages/core/src/borageramp_core/_internal/routing/world.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from borageramp_core._internal.routing.model import (
+    CrashSuspect,
     DataCentreOut,
     Fact,
     Instance,
@@ -104,6 +105,10 @@
         """Return the instances of this system that are registered."""
         return (f for f in self._facts.values() if isinstance(f, Instance))
 
+    def crash_suspects(self) -> Iterable[CrashSuspect]:
+        """Return the requests under which upstreams died at some instance."""
+        return (f for f in self._facts.values() if isinstance(f, CrashSuspect))
+
     def data_centres_out(self) -> frozenset[str]:
         """Return the data centres that operators have taken out."""
         return frozenset(
--- a/packages/core/src/borageramp_core/_internal/suspects.py
+++ b/packages/core/src/borageramp_core/_internal/suspects.py
@@ -67,6 +67,10 @@
     ----------
     limit : int
         Most suspects remembered; the oldest go first.
+    max_deaths : int
+        Deaths after which a request is refused.
+    keep_s : float
+        Time for which deaths count.
 
     Attributes
     ----------
@@ -77,9 +81,17 @@
     MAX_DEATHS = 2
     KEEP_S = 600.0
 
-    def __init__(self, *, limit: int = 10_000) -> None:
+    def __init__(
+        self,
+        *,
+        limit: int = 10_000,
+        max_deaths: int = MAX_DEATHS,
+        keep_s: float = KEEP_S,
+    ) -> None:
         self.elsewhere = PeerTries()
         self._limit = limit
+        self._max_deaths = max_deaths
+        self._keep_s = keep_s
         self._suspects: OrderedDict[str, Suspect] = OrderedDict()
 
     def deaths(self, name: str, *, now_s: float) -> int:
@@ -87,14 +99,14 @@
         suspect = self._suspects.get(name)
         if suspect is None:
             return 0
-        if now_s - suspect.seen_at_s > self.KEEP_S:
+        if now_s - suspect.seen_at_s > self._keep_s:
             del self._suspects[name]
             return 0
         return len(suspect.upstreams)
 
     def is_condemned(self, name: str, *, now_s: float) -> bool:
         """Tell whether a request has to be refused."""
-        return self.deaths(name, now_s=now_s) >= self.MAX_DEATHS
+        return self.deaths(name, now_s=now_s) >= self._max_deaths
 
     def on_death(self, names: Iterable[str], *, upstream: str, now_s: float) -> None:
         """Record the death of an upstream.
@@ -123,7 +135,7 @@
     ) -> None:
         """Take over what a peer knows of a suspect; no upstreams clear it."""
         deaths = set(upstreams)
-        if age_s > self.KEEP_S:
+        if age_s > self._keep_s:
             return
         if deaths:
             self._add(name, deaths, now_s=now_s - age_s)
@@ -147,7 +159,7 @@
             self._clear(suspect, at_s=now_s)
 
     def _clear(self, suspect: Suspect, *, at_s: float) -> None:
-        condemned = len(suspect.upstreams) >= self.MAX_DEATHS
+        condemned = len(suspect.upstreams) >= self._max_deaths
         if condemned or at_s <= suspect.seen_at_s:
             return
         suspect.upstreams.clear()
@@ -157,5 +169,5 @@
         """Yield what peers should hear of, the latest first, cleared included."""
         for name in reversed(self._suspects):
             suspect = self._suspects[name]
-            if now_s - suspect.last_s <= self.KEEP_S:
+            if now_s - suspect.last_s <= self._keep_s:
                 yield name, suspect
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -3,6 +3,7 @@
 from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
 from borageramp_core._internal.routing.model import (
     CallerLimits,
+    CrashSuspect,
     DataCentreOut,
     Fact,
     Instance,
@@ -26,6 +27,7 @@
     "Chosen",
     "ColdAllowance",
     "ColdBounds",
+    "CrashSuspect",
     "DataCentreOut",
     "Fact",
     "Instance",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -18,6 +18,7 @@
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.border.http import DrainingSite
 from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.crashes import CrashWatch, make_suspects
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.front import FrontResource, FrontSite
 from borageramp_entry._internal.routed.instances import InstanceList
@@ -31,7 +32,7 @@
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.ports import Platform
 from borageramp_entry._internal.routed.prober import Prober
-from borageramp_entry._internal.routed.records import unpack_instance
+from borageramp_entry._internal.routed.records import read_record
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
 from borageramp_entry._internal.store.base import Item
 
@@ -114,6 +115,12 @@
             dialect=self._platform.upstreams,
             idle_s=UPSTREAM_IDLE_S,
         )
+        self._crashes = CrashWatch(
+            instance=self._own.name,
+            suspects=make_suspects(),
+            store=self._store,
+            client=self._client,
+        )
         cold = ColdAllowance(
             member=self._own.name,
             bounds=ColdBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
@@ -135,6 +142,7 @@
             pools=self._pools,
             prober=self._prober,
             client=self._client,
+            crashes=self._crashes,
             rng=self._rng,
             clock=self._clock,
         )
@@ -184,7 +192,7 @@
         return float(self._front.in_flight)
 
     def _read_item(self, item: Item) -> Fact | None:
-        return unpack_instance(item) or self._platform.read_item(item)
+        return read_record(item) or self._platform.read_item(item)
 
     def _health_path(self, service: str) -> str | None:
         config = self._knowledge.world.config
@@ -202,6 +210,8 @@
         world = self._knowledge.world
         self._instances.update(world.instances())
         self._pools.apply(world, entries=self._instances.names(), now_s=self._clock())
+        for suspect in world.crash_suspects():
+            self._crashes.learn(suspect)
         if world.config is not None and world.config.limits != self._site.limits:
             self._site.limits = world.config.limits
         listed = {i.name for i in world.instances()}
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/crashes.py
@@ -0,0 +1,143 @@
+"""Requests that crash the upstreams that run them.
+
+A broken connection doesn't say that an upstream died. So the upstream is
+asked, and only if nobody listens there any more does the request under which
+it broke become a suspect. A suspect whose caller got no answer is told to the
+other instances through the store; enough deaths condemn it.
+"""
+
+import asyncio
+
+from borageramp_core import Result, StoreError, Suspects
+from borageramp_core.routing import CrashSuspect, UpstreamView
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.records import pack_suspect, suspect_key
+from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
+from borageramp_entry._internal.store.base import Commit, Put, Store
+
+__all__ = ["CrashWatch", "make_suspects"]
+
+_log = get_logger(__name__)
+
+# A crash that only happens to meet a request is rare to do so three times.
+MAX_DEATHS = 3
+# Callers resend for some seconds; after this, the request gets another chance.
+KEEP_S = 30.0
+# Time for a crashed upstream's machine to refuse a connection.
+CONFIRM_TIMEOUT_S = 0.3
+# Records remembered, so that each is taken in once.
+MAX_HEARD = 1000
+
+
+def make_suspects() -> Suspects:
+    """Return the suspects of an instance."""
+    return Suspects(max_deaths=MAX_DEATHS, keep_s=KEEP_S)
+
+
+class CrashWatch:
+    """Finds requests that crash upstreams, and tells other instances.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    suspects : Suspects
+        The suspects that it knows of.
+    store : Store
+        The store.
+    client : UpstreamClient
+        Connections to upstreams.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        suspects: Suspects,
+        store: Store,
+        client: UpstreamClient,
+    ) -> None:
+        self._instance = instance
+        self._suspects = suspects
+        self._store = store
+        self._client = client
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._heard: set[CrashSuspect] = set()
+
+    def is_condemned(self, fingerprint: str) -> bool:
+        """Tell whether a request has to be refused."""
+        return self._suspects.is_condemned(fingerprint, now_s=_now_s())
+
+    def on_answer(self, fingerprint: str) -> None:
+        """Take in that a request was answered."""
+        self._suspects.clear(fingerprint, now_s=_now_s())
+
+    def on_broken(self, fingerprint: str, views: list[UpstreamView]) -> None:
+        """Take in that a request ended without an answer.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Name of the request.
+        views : list of UpstreamView
+            Upstreams whose connections broke under it.
+        """
+        task = asyncio.ensure_future(self._confirm(fingerprint, views))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _confirm(self, fingerprint: str, views: list[UpstreamView]) -> None:
+        dead = [v for v in views if await self._is_dead(v)]
+        if not dead:
+            return
+        for view in dead:
+            start = f"{view.registration.id}/{view.registration.started_ms}"
+            self._suspects.on_death([fingerprint], upstream=start, now_s=_now_s())
+        deaths = self._suspects.deaths(fingerprint, now_s=_now_s())
+        _log.warning("crash suspect", fingerprint=fingerprint, deaths=deaths)
+        await self._tell(fingerprint)
+
+    async def _is_dead(self, view: UpstreamView) -> bool:
+        try:
+            await self._client.ask_health(
+                view.upstream,
+                "/",
+                timeout_s=CONFIRM_TIMEOUT_S,
+                connect_timeout_s=CONFIRM_TIMEOUT_S,
+            )
+        except TryFailedError as error:
+            return error.result is Result.UNREACHABLE
+        return False
+
+    async def _tell(self, fingerprint: str) -> None:
+        known = dict(self._suspects.recent(now_s=_now_s())).get(fingerprint)
+        if known is None:
+            return
+        suspect = CrashSuspect(
+            fingerprint=fingerprint, upstreams=tuple(sorted(known.upstreams))
+        )
+        try:
+            lease_id = await self._store.grant_lease(KEEP_S)
+            put = Put(
+                key=suspect_key(fingerprint, instance=self._instance),
+                value=pack_suspect(suspect),
+                lease_id=lease_id,
+            )
+            await self._store.commit([Commit(conditions=(), puts=(put,))])
+        except StoreError as error:
+            _log.warning("suspect not told", error=str(error))
+
+    def learn(self, suspect: CrashSuspect) -> None:
+        """Take in what another instance tells, once."""
+        if suspect in self._heard:
+            return
+        if len(self._heard) >= MAX_HEARD:
+            self._heard.clear()
+        self._heard.add(suspect)
+        self._suspects.learn(
+            suspect.fingerprint, suspect.upstreams, age_s=0.0, now_s=_now_s()
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -10,9 +10,17 @@
     RefusedError,
     Result,
     Verdict,
+    fingerprint,
+)
+from borageramp_core.routing import (
+    Chosen,
+    Patience,
+    Route,
+    UpstreamView,
+    retry_after_s,
 )
-from borageramp_core.routing import Chosen, Patience, Route, retry_after_s
 from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.crashes import CrashWatch
 from borageramp_entry._internal.routed.placing import Placer, Seeker
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
@@ -62,6 +70,8 @@
         Asks upstreams for their load.
     client : UpstreamClient
         Connections to upstreams.
+    crashes : CrashWatch
+        Knows requests that crash upstreams.
     rng : random.Random
         Source of randomness.
     clock : callable
@@ -74,9 +84,11 @@
         pools: Pools,
         prober: Prober,
         client: UpstreamClient,
+        crashes: CrashWatch,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
+        self.crashes = crashes
         self.pools = pools
         self.prober = prober
         self.client = client
@@ -106,11 +118,35 @@
         RefusedError
             If there is none.
         """
+        name = _fingerprint(request.caller)
+        if self.crashes.is_condemned(name):
+            raise RefusedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CRASHES_UPSTREAMS,
+                detail="upstreams died while they ran this request",
+                retry_after_s=request.route.timeout_s,
+            )
         run = _Run(self, request)
         try:
-            return await run.to_end()
+            answer = await run.to_end()
+        except RefusedError:
+            if run.broken:
+                self.crashes.on_broken(name, run.broken)
+            raise
         finally:
             run.cancel()
+        self.crashes.on_answer(name)
+        return answer
+
+
+def _fingerprint(caller: CallerRequest) -> str:
+    return fingerprint(
+        service="",
+        key="",
+        method=caller.method,
+        path=caller.path,
+        body=caller.body,
+    )
 
 
 class _Run:
@@ -131,6 +167,7 @@
         self._verdict = Verdict.NOT_RUN
         self._last = Result.UNREACHABLE
         self._failure: RoutedAnswer | None = None
+        self.broken: list[UpstreamView] = []
         self._repeats.earn()
 
     @property
@@ -199,6 +236,8 @@
     def _on_failed(self, ended: RoutedTry, result: Result) -> None:
         self._log_end(ended, result)
         self._last = result
+        if result is Result.DIED:
+            self.broken.append(ended.view)
         self._verdict = max(self._verdict, result.verdict, key=_ORDER.index)
         if result.verdict is Verdict.NOT_RUN:
             self._runs -= 1
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -1,14 +1,21 @@
-"""The record of an instance in the store, by which the others find it."""
+"""Records of this system in the store, by which instances tell each other."""
 
 from pydantic import ValidationError
 
-from borageramp_core.routing import Fact, Instance, Unreadable
+from borageramp_core.routing import CrashSuspect, Fact, Instance, Unreadable
 from borageramp_entry._internal.store.base import Item
 from borageramp_settings import StrictModel
 
-__all__ = ["INSTANCES_PREFIX", "instance_key", "pack_instance", "unpack_instance"]
+__all__ = [
+    "instance_key",
+    "pack_instance",
+    "pack_suspect",
+    "read_record",
+    "suspect_key",
+]
 
 INSTANCES_PREFIX = "borageramp/instances/"
+SUSPECTS_PREFIX = "borageramp/suspects/"
 
 
 class _Record(StrictModel):
@@ -19,6 +26,11 @@
     check_address: str
 
 
+class _Suspect(StrictModel):
+    fingerprint: str
+    upstreams: tuple[str, ...]
+
+
 def instance_key(name: str) -> str:
     """Return the key of an instance's record."""
     return INSTANCES_PREFIX + name
@@ -36,12 +48,26 @@
     return record.model_dump_json().encode()
 
 
-def unpack_instance(item: Item) -> Fact | None:
-    """Read the record of an instance; ``None`` for any other item."""
-    if not item.key.startswith(INSTANCES_PREFIX):
-        return None
+def suspect_key(fingerprint: str, *, instance: str) -> str:
+    """Return the key under which an instance tells of a suspect."""
+    return f"{SUSPECTS_PREFIX}{fingerprint}/{instance}"
+
+
+def pack_suspect(suspect: CrashSuspect) -> bytes:
+    """Return the record of a suspect."""
+    record = _Suspect(fingerprint=suspect.fingerprint, upstreams=suspect.upstreams)
+    return record.model_dump_json().encode()
+
+
+def read_record(item: Item) -> Fact | None:
+    """Read a record of this system; ``None`` for any other item."""
     try:
-        record = _Record.model_validate_json(item.value)
+        if item.key.startswith(INSTANCES_PREFIX):
+            record = _Record.model_validate_json(item.value)
+            return Instance(**record.model_dump())
+        if item.key.startswith(SUSPECTS_PREFIX):
+            suspect = _Suspect.model_validate_json(item.value)
+            return CrashSuspect(**suspect.model_dump())
     except ValidationError as error:
         return Unreadable(problem=str(error.errors()[0]["msg"]))
-    return Instance(**record.model_dump())
+    return None
