--- a/packages/cli/src/borageramp_cli/_internal/commands/explain.py
+++ b/packages/cli/src/borageramp_cli/_internal/commands/explain.py
@@ -1,14 +1,21 @@
 """``borageramp explain``: why a request went where it went."""
 
+from pathlib import Path
+
 from borageramp_cli._internal.client import CommandError, OperatorClient, OutputFormat
 from borageramp_cli._internal.exits import Exit
+from borageramp_cli._internal.logstory import read_logs, tell
 from borageramp_cli._internal.output import print_json
 
 __all__ = ["explain"]
 
 
 def explain(
-    request_id: str, *, entry: str = "", format: OutputFormat = OutputFormat.text
+    request_id: str,
+    *,
+    entry: str = "",
+    log: list[Path] | None = None,
+    format: OutputFormat = OutputFormat.text,
 ) -> int:
     """Tell what was decided on a request, by all entries.
 
@@ -18,9 +25,13 @@
         Identifier, from the header Borageramp-Request-Id of the answer.
     entry
         Operator addresses, separated by commas.
+    log
+        Log files to read in place of asking entries.
     format
         How to print the result.
     """
+    if log:
+        return _explain_from_logs(request_id, log, format)
     reply = OperatorClient(entry).get(f"/v1/explain/{request_id}")
     if format is OutputFormat.json:
         print_json(reply.value)
@@ -31,6 +42,29 @@
     return Exit.OK
 
 
+def _explain_from_logs(request_id: str, files: list[Path], format: OutputFormat) -> int:
+    try:
+        lines = read_logs(files, request_id)
+    except OSError as error:
+        problem = f"{error.filename}: {error.strerror}"
+        raise CommandError(problem, Exit.INVALID) from None
+    if not lines:
+        raise CommandError(
+            f"no line on request {request_id}: is the log of the instance that "
+            "took it among the files, and does it reach back far enough?",
+            Exit.NOT_FOUND,
+        )
+    if format is OutputFormat.json:
+        events = [
+            {"at": n.at, "source": n.source, "event": n.event, **n.fields}
+            for n in lines
+        ]
+        print_json({"request_id": request_id, "events": events})
+    else:
+        print("\n".join(tell(lines)))
+    return Exit.OK
+
+
 def _print(events: list[str]) -> None:
     first_s: float | None = None
     for event in events:
--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -14,7 +14,7 @@
 _log = get_logger(__name__)
 
 # Changes come in groups; a short wait lets one call fetch a group.
-GATHER_S = 0.35
+GATHER_S = 0.6
 # Pause after a failed call, with as much again at random.
 RETRY_S = 0.2
 
--- /dev/null
+++ b/tests/unit/test_logstory.py
@@ -0,0 +1,64 @@
+"""The story of a request, from logs that may be cut or mixed."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from borageramp_cli._internal.client import CommandError, OutputFormat
+from borageramp_cli._internal.commands.explain import explain
+from borageramp_cli._internal.exits import Exit
+
+
+def line(event: str, at: str, **fields: object) -> str:
+    return json.dumps({"event": event, "timestamp": at, "request_id": "r1", **fields})
+
+
+@pytest.fixture
+def logs(tmp_path: Path) -> list[Path]:
+    first = tmp_path / "one.log"
+    second = tmp_path / "two.log"
+    placed = line("placed", "2026-01-01T00:00:02Z", upstream="u1")
+    cut = line("cut", "2026-01-01T00:00:09Z")[:40]
+    first.write_text(
+        "\n".join(
+            [
+                "some other text on r1",
+                "  1.2 front-1 "
+                + line("placed", "2026-01-01T00:00:02Z", upstream="u1"),
+                line("other", "2026-01-01T00:00:02Z", request_id="r10"),
+                cut,
+            ]
+        )
+    )
+    second.write_bytes(
+        b"\xff\xfe not text\n" + line("refused", "2026-01-01T00:00:03Z").encode()
+    )
+    return [first, second]
+
+
+def test_the_story_of_a_request(
+    logs: list[Path], capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert explain("r1", log=logs) == Exit.OK
+    placed, refused = capsys.readouterr().out.splitlines()
+    assert "front-1" in placed and "placed: upstream=u1" in placed
+    assert "two.log" in refused
+
+
+def test_as_json(logs: list[Path], capsys: pytest.CaptureFixture[str]) -> None:
+    explain("r1", log=logs, format=OutputFormat.json)
+    told = json.loads(capsys.readouterr().out)
+    assert [e["event"] for e in told["events"]] == ["placed", "refused"]
+
+
+def test_a_request_that_is_not_there(logs: list[Path]) -> None:
+    with pytest.raises(CommandError) as caught:
+        explain("r2", log=logs)
+    assert caught.value.exit_code == Exit.NOT_FOUND
+
+
+def test_a_file_that_is_not_there(tmp_path: Path) -> None:
+    with pytest.raises(CommandError) as caught:
+        explain("r1", log=[tmp_path / "none.log"])
+    assert caught.value.exit_code == Exit.INVALID
