--- a/packages/entry/src/borageramp_entry/_internal/routed/main.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/main.py
@@ -1,6 +1,7 @@
 """Runs an entry that serves routes, on a platform."""
 
 import asyncio
+import gc
 import signal
 import sys
 from typing import Any
@@ -70,6 +71,9 @@
 async def _serve(platform: Platform, reactor: Any) -> None:
     from borageramp_entry._internal.routed.app import RoutedApp
 
+    # What is loaded stays for good and need not be looked at again.
+    gc.freeze()
+    gc.enable()
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/routed/test_boundary.py
+++ b/tests/routed/test_boundary.py
@@ -36,3 +36,10 @@
 def test_the_adapter_is_small() -> None:
     lines = sum(len(p.read_text().splitlines()) for p in sources("platform"))
     assert lines <= MAX_ADAPTER_LINES
+
+
+def test_the_platform_gets_the_same_versions() -> None:
+    def pins(name: str) -> set[str]:
+        return set((ROOT / "constraints" / name).read_text().split())
+
+    assert pins("platform.txt") <= pins("runtime.txt")
