--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -21,7 +21,7 @@
 # A report of this age is as good as a new one.
 FRESH_S = 0.03
 # Upstreams elsewhere cost bytes between data centres: near ones win ties.
-REMOTE_FACTOR = 1.15
+REMOTE_FACTOR = 1.3
 # How much an upstream's share of failures counts against it.
 FAILURE_FACTOR = 4.0
 # How much it counts against an upstream that its health endpoint says ill.
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -89,6 +89,7 @@
             prefix=self._platform.watched_prefix,
             read_item=self._read_item,
             rejoin_s=settings.rejoin_s,
+            gather_s=settings.gather_s,
             on_change=self._on_change,
             rng=self._rng,
             clock=self._clock,
--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -13,8 +13,6 @@
 
 _log = get_logger(__name__)
 
-# Changes come in groups; a short wait lets one call fetch a group.
-GATHER_S = 0.6
 # Pause after a failed call, with as much again at random.
 RETRY_S = 0.2
 
@@ -32,6 +30,8 @@
         Reads an item; ``None`` if it is of no interest.
     rejoin_s : float
         Time after an outage within which upstreams register again.
+    gather_s : float
+        Time for which changes are gathered, to be fetched in one call.
     on_change : callable
         Called after each change of the world.
     rng : random.Random
@@ -52,6 +52,7 @@
         prefix: str,
         read_item: Callable[[Item], Fact | None],
         rejoin_s: float,
+        gather_s: float,
         on_change: Callable[[], None],
         rng: random.Random,
         clock: Callable[[], float],
@@ -61,6 +62,7 @@
         self._prefix = prefix
         self._read_item = read_item
         self._rejoin_s = rejoin_s
+        self._gather_s = gather_s
         self._on_change = on_change
         self._rng = rng
         self._clock = clock
@@ -155,7 +157,7 @@
             self._on_answer()
             self._apply(change)
             if change.written or change.deleted:
-                await asyncio.sleep(GATHER_S)
+                await asyncio.sleep(self._gather_s)
 
     def _apply(self, change: Change) -> None:
         changed = False
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -70,6 +70,11 @@
         description="Time after an outage of the store within which upstreams "
         "register again; those still missing then are gone.",
     )
+    gather_s: NotNegative = Field(
+        default=0.5,
+        description="Time for which changes of the store are gathered; each "
+        "fetch is a call that the store counts.",
+    )
     bounds: FleetBounds = Field(
         default=FleetBounds(), description="Bounds over all entries."
     )
