Drop upstreams that stay missing after an outage without waiting for a change

Cause: found by a test of the following of the store: registrations that lapsed in an outage were dropped only when the next change arrived, up to 30 s later with the long watches. The test fails before (the upstream stays for good) and passes after. Tests of tries, retries, hedges and refusals against scripted upstreams come with it.

--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -15,6 +15,8 @@
 
 # Pause after a failed call, with as much again at random.
 RETRY_S = 0.2
+# A timer may fire a little before its time by another clock.
+TIMER_SLACK_S = 0.01
 
 
 class KnowledgeTask:
@@ -147,6 +149,7 @@
         self.world.replace(
             facts, after_outage=self._just_returned(), now_s=self._clock()
         )
+        self._drop_missing_later()
         self.world.revision = listing.revision
         _log.info("store read", revision=listing.revision, items=len(facts))
         self._on_change()
@@ -168,10 +171,19 @@
         for key in change.deleted:
             changed |= self._remove(key)
         self.world.revision = max(self.world.revision, change.revision)
+        if changed:
+            self._on_change()
+
+    def _drop_missing_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._rejoin_s + TIMER_SLACK_S, self._drop_missing)
+
+    def _drop_missing(self) -> None:
+        """Drop the upstreams that did not register again after an outage."""
         gone = self.world.drop_missing(older_than_s=self._rejoin_s, now_s=self._clock())
         for key in gone:
             _log.info("upstream gone", key=key, why="not registered again")
-        if changed or gone:
+        if gone:
             self._on_change()
 
     def _put(self, item: Item, fact: Fact) -> bool:
@@ -187,6 +199,7 @@
 
     def _remove(self, key: str) -> bool:
         if self._just_returned() and self.world.hold_missing(key, now_s=self._clock()):
+            self._drop_missing_later()
             return False
         removed = self.world.remove(key)
         if removed:
--- /dev/null
+++ b/tests/routed/test_dispatch.py
@@ -0,0 +1,207 @@
+"""Tries, retries, hedges and refusals of a request, against scripted upstreams."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from borageramp_core import Reason, RefusedError, Result, Verdict
+from borageramp_core.routing import World
+from borageramp_entry._internal.routed.crashes import CrashWatch, make_suspects
+from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
+from borageramp_entry._internal.routed.pools import Pools
+from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.serving.http_connection import (
+    HttpConnection,
+    HttpResponse,
+)
+from borageramp_entry._internal.serving.upstreams import (
+    HealthAnswer,
+    TryFailedError,
+    UpstreamAnswer,
+)
+from borageramp_entry.routed import AnswerHead, CallerRequest
+from borageramp_settings import FleetBounds
+from tests.lib.routed import (
+    HERE,
+    make_cold,
+    make_config,
+    make_registration,
+    make_report,
+    make_route,
+)
+
+Step = Result | int | str
+
+
+class ScriptedClient:
+    """Upstreams that do what a script says, one step a request.
+
+    A step is how a try fails, the status of an answer, or ``hang``.
+    """
+
+    def __init__(self, *steps: Step) -> None:
+        self._steps = list(steps)
+        self.sent: list[str] = []
+        self.cancelled: list[str] = []
+
+    async def send(self, upstream: Any, request: Any, **_: Any) -> UpstreamAnswer:
+        self.sent.append(upstream.name)
+        step = self._steps.pop(0)
+        if step == "hang":
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                self.cancelled.append(upstream.name)
+                raise
+        if isinstance(step, Result):
+            raise TryFailedError(step)
+        response = HttpResponse(HttpConnection(on_idle=lambda connection: None))
+        response.on_head(int(step), ())
+        response.on_body(b"body")
+        response.on_end(whole=True)
+        head = AnswerHead(status=int(step), headers=())
+        return UpstreamAnswer(head=head, report=None, _response=response)
+
+    async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
+        return HealthAnswer(healthy=True, report=make_report())
+
+    def forget(self, upstream: Any) -> None:
+        """Nothing is kept."""
+
+
+def make_dispatcher(
+    client: Any, *, clock: Callable[[], float], upstreams: int = 4
+) -> RoutedDispatcher:
+    world = World()
+    world.put("op/config", make_config())
+    for i in range(upstreams):
+        world.put(f"servers/u{i}", make_registration(f"u{i}", port=1000 + i))
+    rng = random.Random(1)
+    pools = Pools(
+        data_centre=HERE,
+        bounds=FleetBounds(probes_hz=1000.0, retry_ratio=1.0),
+        cold=make_cold(),
+        on_gone=lambda view: None,
+        rng=rng,
+    )
+    pools.apply(world, entries=frozenset({"e0"}), now_s=clock())
+    store: Any = None
+    return RoutedDispatcher(
+        pools=pools,
+        prober=Prober(
+            client=client, pools=pools, health_path=lambda s: "/healthz", clock=clock
+        ),
+        client=client,
+        crashes=CrashWatch(
+            instance="e0", suspects=make_suspects(), store=store, client=client
+        ),
+        rng=rng,
+        clock=clock,
+    )
+
+
+def run(
+    client: ScriptedClient, *, timeout_s: float = 1.0, upstreams: int = 4, **route: Any
+) -> Any:
+    """Return the answer to a request, or the refusal."""
+
+    async def serve() -> Any:
+        clock = asyncio.get_running_loop().time
+        dispatcher = make_dispatcher(client, clock=clock, upstreams=upstreams)
+        # Budgets start empty and fill with requests.
+        for _ in range(5):
+            dispatcher.pools.repeats("records").earn()
+        # Let the budget of probes fill.
+        await asyncio.sleep(0.05)
+        caller = CallerRequest(
+            request_id="r",
+            service="records",
+            class_name="r1",
+            deadline_s=clock() + timeout_s,
+            method="GET",
+            path="/",
+            headers=(),
+            body=b"",
+        )
+        request = RoutedRequest(
+            caller=caller, route=make_route(**route), arrived_at_s=clock()
+        )
+        try:
+            return await dispatcher.run(request)
+        except RefusedError as error:
+            return error
+
+    return asyncio.run(serve())
+
+
+@pytest.mark.parametrize("result", [Result.DIED, Result.TIMED_OUT])
+def test_what_may_run_once_is_not_sent_again(result: Result) -> None:
+    client = ScriptedClient(result, 200)
+    refused = run(client, idempotent=False)
+    assert refused.verdict is Verdict.MAY_HAVE_RUN
+    assert len(client.sent) == 1
+
+
+@pytest.mark.parametrize("result", [Result.SHED, Result.UNREACHABLE])
+def test_what_certainly_did_not_run_is_sent_elsewhere(result: Result) -> None:
+    client = ScriptedClient(result, 200)
+    answer = run(client, idempotent=False)
+    assert answer.body == b"body"
+    assert len(set(client.sent)) == 2
+
+
+@pytest.mark.parametrize(
+    "result", [Result.DIED, Result.SHED, Result.UNREACHABLE, Result.ERROR]
+)
+def test_idempotent_work_is_sent_elsewhere(result: Result) -> None:
+    client = ScriptedClient(result, 200)
+    assert run(client).body == b"body"
+    assert len(set(client.sent)) == 2
+
+
+def test_a_refusal_says_not_run_only_if_every_try_was_shed() -> None:
+    shed = run(ScriptedClient(*[Result.SHED] * 4))
+    assert shed.verdict is Verdict.NOT_RUN and shed.retry_after_s is not None
+    mixed = run(ScriptedClient(Result.DIED, Result.SHED, Result.SHED, Result.SHED))
+    assert mixed.verdict is Verdict.MAY_HAVE_RUN
+    assert mixed.reason is Reason.UPSTREAM_FAILED
+
+
+def test_a_request_runs_on_no_more_upstreams_than_its_route_allows() -> None:
+    client = ScriptedClient(*[Result.DIED] * 4)
+    run(client, max_runs=2)
+    assert len(client.sent) == 2
+
+
+def test_an_upstream_that_says_it_failed_is_delivered_if_no_other_helps() -> None:
+    answer = run(ScriptedClient(500), max_runs=1)
+    assert answer.failed and answer.body == b"body"
+
+
+def test_a_failure_that_is_ready_is_delivered_when_time_is_up() -> None:
+    answer = run(ScriptedClient(500, "hang"), timeout_s=0.4)
+    assert answer.failed
+
+
+def test_a_slow_try_gets_a_hedge_and_is_cancelled() -> None:
+    client = ScriptedClient("hang", 200)
+    answer = run(client, timeout_s=5.0)
+    assert answer.body == b"body"
+    assert client.cancelled == client.sent[:1]
+
+
+def test_a_slow_try_that_may_run_once_gets_no_hedge() -> None:
+    client = ScriptedClient("hang", 200)
+    refused = run(client, timeout_s=0.5, idempotent=False)
+    assert refused.reason is Reason.DEADLINE_PASSED
+    assert refused.verdict is Verdict.MAY_HAVE_RUN
+    assert len(client.sent) == 1
+
+
+def test_without_upstreams_the_refusal_comes_at_once() -> None:
+    refused = run(ScriptedClient(), upstreams=0, rank=2, objective_s=0.05)
+    assert refused.verdict is Verdict.NOT_RUN
+    assert refused.reason is Reason.NO_UPSTREAM
--- /dev/null
+++ b/tests/routed/test_knowledge.py
@@ -0,0 +1,121 @@
+"""An entry follows the store, whatever the store does."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from borageramp_core.routing import Registration
+from borageramp_entry._internal.routed.knowledge import KnowledgeTask
+from borageramp_platform.documents import read_item
+from borageramp_platform.store import KeyValueStore
+from tests.lib.platform_store import FakeStore, running_store
+from tests.lib.routed import as_bytes, config_document, upstream_document
+
+REJOIN_S = 0.3
+
+
+def follow(test: Callable[[FakeStore, KnowledgeTask], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with running_store() as fake:
+            fake.put("op/config", as_bytes(config_document(1)))
+            fake.put("servers/u1", as_bytes(upstream_document()))
+            client = KeyValueStore(address=fake.address)
+            task = KnowledgeTask(
+                store=client,
+                prefix="",
+                read_item=read_item,
+                rejoin_s=REJOIN_S,
+                gather_s=0.01,
+                on_change=lambda: None,
+                rng=random.Random(1),
+                clock=asyncio.get_running_loop().time,
+            )
+            running = asyncio.ensure_future(task.run())
+            try:
+                async with asyncio.timeout(20):
+                    await until(lambda: task.world.config is not None)
+                    await test(fake, task)
+            finally:
+                running.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await running
+                client.close()
+
+    asyncio.run(run())
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    while not holds():
+        await asyncio.sleep(0.01)
+
+
+def names(task: KnowledgeTask) -> set[str]:
+    found: list[Registration] = list(task.world.registrations())
+    return {r.id for r in found}
+
+
+def version(task: KnowledgeTask) -> Any:
+    return task.world.config.version if task.world.config else None
+
+
+def test_changes_are_followed() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.put("op/config", as_bytes(config_document(2)))
+        await until(lambda: version(task) == 2)
+        fake.remove("servers/u1")
+        await until(lambda: names(task) == set())
+
+    follow(test)
+
+
+def test_everything_is_read_anew_when_history_is_dropped() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.items["servers/u2"] = fake.items["servers/u1"] | {"key": "servers/u2"}
+        fake.revision += 1
+        fake.forget_history()
+        await until(lambda: names(task) == {"u1", "u2"})
+
+    follow(test)
+
+
+def test_an_outage_changes_nothing_and_ends() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.fault = "reset"
+        fake.forget_history()
+        fake.oldest = 0
+        await asyncio.sleep(0.5)
+        assert names(task) == {"u1"} and version(task) == 1
+        fake.fault = ""
+        fake.put("op/config", as_bytes(config_document(3)))
+        await until(lambda: version(task) == 3)
+
+    follow(test)
+
+
+def test_registrations_that_lapsed_in_an_outage_stay_until_they_may_be_back() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        task.on_store_checked(answered=False)
+        fake.remove("servers/u1")
+        task.on_store_checked(answered=True)
+        await asyncio.sleep(REJOIN_S / 3)
+        assert names(task) == {"u1"}
+        await until(lambda: names(task) == set())
+
+    follow(test)
+
+
+def test_a_watch_that_hangs_is_restarted_when_the_store_answers_again() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.fault = "silent"
+        fake.forget_history()
+        fake.oldest = 0
+        await asyncio.sleep(0.1)
+        task.on_store_checked(answered=False)
+        fake.fault = ""
+        fake.put("op/config", as_bytes(config_document(4)))
+        task.on_store_checked(answered=True)
+        await until(lambda: version(task) == 4)
+
+    follow(test)
