--- /dev/null
+++ b/tests/routed/test_process.py
@@ -0,0 +1,211 @@
+"""The real program on the platform's stand-in: serving, reloading, stopping."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import yaml
+
+from borageramp_entry.routed import HttpClient
+from tests.lib.platform_store import FakeStore, running_store
+from tests.lib.routed import HERE, as_bytes, config_document, upstream_document
+
+ROOT = Path(__file__).resolve().parents[2]
+WORK_S = 0.6
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Upstream:
+    """Answers each request after some work, and its health at once."""
+
+    def __init__(self) -> None:
+        self.served = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                body = b"well"
+                if "/healthz" not in head:
+                    await asyncio.sleep(WORK_S)
+                    self.served += 1
+                    body = b"done"
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nBorageramp-Server-Load: 0,0,4,100\r\n"
+                    b"Borageramp-Response-Signature: s\r\n"
+                    b"Content-Length: 4\r\n\r\n" + body
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Instance:
+    """A running entry, and where it listens."""
+
+    def __init__(self, store: FakeStore, folder: Path) -> None:
+        self.front, self.check, self.directory = (free_port() for _ in range(3))
+        self.boot = folder / "boot.yaml"
+        self._store = store
+        self.write_boot(probes_per_s=60)
+        self.client = HttpClient(idle_s=5.0, max_idle=4)
+
+    def write_boot(self, *, probes_per_s: float) -> None:
+        boot = {
+            "node_name": "front-1",
+            "ip": "127.0.0.1",
+            "zone": HERE,
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "readiness": f"127.0.0.1:{self.check}",
+                "directory": f"127.0.0.1:{self.directory}",
+            },
+            "bounds": {"grace_s": 4, "ttl_max_s": 0.5, "probes_per_s": probes_per_s},
+            "platform": {"address": self._store.address},
+        }
+        self.boot.write_text(yaml.safe_dump(boot))
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "start.py"),
+            env=os.environ | {"BORAGERAMP_BOOT": str(self.boot)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def get(self, port: int, path: str) -> tuple[int, bytes]:
+        response = await self.client.request(
+            ("127.0.0.1", port),
+            "GET",
+            path,
+            headers=(
+                ("host", b"a.example"),
+                ("borageramp-request-id", b"r1"),
+                ("borageramp-deadline-ms", b"3000"),
+            ),
+            connect_timeout_s=1.0,
+        )
+        body = b""
+        while part := await response.read():
+            body += part
+        return response.status, body
+
+    async def until_ready(self) -> None:
+        while True:
+            try:
+                if (await self.get(self.check, "/-/readyz"))[0] == 200:
+                    return
+            except Exception:
+                # Not listening yet.
+                pass
+            await asyncio.sleep(0.05)
+
+    async def end(self) -> list[str]:
+        """Return the events of its log."""
+        self.client.close()
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        out, _ = await self.process.communicate()
+        return [json.loads(line)["event"] for line in out.decode().splitlines()]
+
+
+def with_instance(
+    folder: Path, test: Callable[[Instance, FakeStore, Upstream], Awaitable[None]]
+) -> list[str]:
+    async def run() -> list[str]:
+        upstream = Upstream()
+        serving = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        port = serving.sockets[0].getsockname()[1]
+        async with running_store() as store:
+            config = config_document(timeout_s=3)
+            store.put("op/config", as_bytes(config))
+            address = f"127.0.0.1:{port}"
+            store.put("servers/u1", as_bytes(upstream_document(address=address)))
+            instance = Instance(store, folder)
+            await instance.start()
+            try:
+                async with asyncio.timeout(60):
+                    await instance.until_ready()
+                    await test(instance, store, upstream)
+            finally:
+                events = await instance.end()
+        serving.close()
+        return events
+
+    return asyncio.run(run())
+
+
+def test_a_request_is_served_and_an_unknown_route_is_not(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        assert await instance.get(instance.front, "/r/x") == (200, b"done")
+        assert (await instance.get(instance.front, "/nowhere"))[0] == 404
+        status, body = await instance.get(instance.directory, "/-/resolve?zone=north")
+        assert status == 200
+        assert json.loads(body)["addresses"] == [f"127.0.0.1:{instance.front}"]
+
+    events = with_instance(tmp_path, test)
+    assert {"started", "placed", "request ended", "stopped"} <= set(events)
+
+
+def test_a_planned_stop_cuts_nothing_and_leaves_the_list(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        while not any("instances/" in key for key in store.items):
+            await asyncio.sleep(0.05)
+        under_way = asyncio.ensure_future(instance.get(instance.front, "/r/x"))
+        await asyncio.sleep(WORK_S / 3)
+        instance.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert (await instance.get(instance.check, "/-/readyz"))[0] == 503
+        # Callers that still have the address are served.
+        assert await instance.get(instance.front, "/r/y") == (200, b"done")
+        assert await under_way == (200, b"done")
+        assert await instance.process.wait() == 0
+        assert not any("instances/" in key for key in store.items)
+
+    with_instance(tmp_path, test)
+
+
+def test_settings_are_read_anew_and_bad_ones_are_not_taken(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        instance.write_boot(probes_per_s=10)
+        instance.process.send_signal(signal.SIGHUP)
+        assert await instance.get(instance.front, "/r/x") == (200, b"done")
+        instance.boot.write_text("node_name: [")
+        instance.process.send_signal(signal.SIGHUP)
+        assert await instance.get(instance.front, "/r/x") == (200, b"done")
+
+    events = with_instance(tmp_path, test)
+    assert "settings reloaded" in events and "settings not reloaded" in events
+
+
+def test_an_entry_that_knows_nothing_is_not_ready(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        instance.process.kill()
+        await instance.process.wait()
+        store.fault = "busy"
+        await instance.start()
+        status = 0
+        while status == 0:
+            await asyncio.sleep(0.05)
+            try:
+                status, _ = await instance.get(instance.check, "/-/readyz")
+            except Exception:
+                # Not listening yet.
+                continue
+        assert status == 503
+        assert (await instance.get(instance.front, "/r/x"))[0] == 503
+        store.fault = ""
+        await instance.until_ready()
+
+    with_instance(tmp_path, test)
