--- a/packages/core/src/borageramp_core/_internal/routing/model.py
+++ b/packages/core/src/borageramp_core/_internal/routing/model.py
@@ -83,15 +83,12 @@
         Connections that an upstream accepts in all.
     ramp_hz : float
         Requests a second that a cold upstream bears, over all entries.
-    warmup_s : float
-        Seconds for which an upstream is cold after its start.
     """
 
     name: str
     health_path: str
     connections: int
     ramp_hz: float
-    warmup_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -205,16 +205,13 @@
         if not self._route.idempotent or len(self._open) != 1 or self._runs > 1:
             return max(0.0, self._left_s)
         (only,) = self._open.values()
-        return max(0.0, min(self._left_s, self._late_after_s() - only.elapsed_s))
-
-    def _late_after_s(self) -> float:
-        return self._work.late_s
+        return max(0.0, min(self._left_s, self._work.late_s - only.elapsed_s))
 
     def _hedge_due(self) -> bool:
         if not self._route.idempotent or len(self._open) != 1:
             return False
         (only,) = self._open.values()
-        return only.elapsed_s >= self._late_after_s()
+        return only.elapsed_s >= self._work.late_s
 
     def _take(self, done: set[Running]) -> RoutedAnswer | None:
         for task in done:
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -81,12 +81,12 @@
     ) -> None:
         super().__init__()
         self._world = world
-        self._dispatcher = dispatcher
-        self._dialect = dialect
+        self.dispatcher = dispatcher
+        self.dialect = dialect
         self.metrics: Metrics | None = None
-        self._closing = closing
+        self.closing = closing
         self._rng = rng
-        self._clock = clock
+        self.clock = clock
         self.in_flight = 0
 
     async def serve(self, request: Request) -> None:
@@ -106,7 +106,7 @@
             If there is none, or the request is not allowed.
         """
         route = self._route(request)
-        terms = self._dialect.read_terms(_headers(request))
+        terms = self.dialect.read_terms(_headers(request))
         if not terms.request_id:
             raise _refused(Reason.BAD_REQUEST, "the request has no identifier")
         left_s = DEFAULT_DEADLINE_S if terms.deadline_s is None else terms.deadline_s
@@ -117,7 +117,7 @@
             deadline_s=arrived_at_s + min(left_s, route.timeout_s),
             method=request.method.decode("latin-1"),
             path=request.uri.decode("latin-1"),
-            headers=self._dialect.forwarded(_headers(request)),
+            headers=self.dialect.forwarded(_headers(request)),
             body=self._body(request),
         )
         return RoutedRequest(caller=caller, route=route, arrived_at_s=arrived_at_s)
@@ -138,34 +138,14 @@
         return route
 
     def _body(self, request: BoundedRequest) -> bytes:
-        limits = (
-            FrontSite.limits
-            if self._world.config is None
-            else (self._world.config.limits)
-        )
+        config = self._world.config
+        limits = CallerLimits() if config is None else config.limits
         content = request.content
         body: bytes = content.read() if content is not None else b""
         if request.body_too_large or len(body) > limits.max_body_bytes:
             raise _refused(Reason.BODY_TOO_LARGE, "the body is over its limit")
         return body
 
-    async def dispatch(self, request: RoutedRequest) -> RoutedAnswer:
-        """Return the answer to a request."""
-        return await self._dispatcher.run(request)
-
-    @property
-    def dialect(self) -> CallerDialect:
-        """Headers of callers."""
-        return self._dialect
-
-    def is_closing(self) -> bool:
-        """Tell whether this instance is stopping."""
-        return self._closing()
-
-    def now_s(self) -> float:
-        """Return the present time."""
-        return self._clock()
-
     def count(self, routed: RoutedRequest | None, outcome: str, took_s: float) -> None:
         """Count a request that got its final answer."""
         if self.metrics is None:
@@ -196,7 +176,7 @@
     def __init__(self, front: FrontResource, request: BoundedRequest) -> None:
         self._front = front
         self._request = request
-        self._arrived_at_s = front.now_s()
+        self._arrived_at_s = front.clock()
         self._routed: RoutedRequest | None = None
         self._id = ""
         self._started = False
@@ -212,7 +192,7 @@
             _log.error("internal error", request_id=self._id, exc_info=error)
             self._fail()
         finally:
-            took_s = self._front.now_s() - self._arrived_at_s
+            took_s = self._front.clock() - self._arrived_at_s
             self._front.count(self._routed, outcome, took_s)
             self._log_end(outcome, took_s)
 
@@ -234,7 +214,7 @@
             self._routed = self._front.routed(
                 self._request, arrived_at_s=self._arrived_at_s
             )
-            answer = await self._front.dispatch(self._routed)
+            answer = await self._front.dispatcher.run(self._routed)
         except RefusedError as error:
             self._refuse(error)
             return error.reason.value
@@ -285,7 +265,7 @@
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name.encode(), value)
-        if self._front.is_closing():
+        if self._front.closing():
             self._request.setHeader(b"connection", b"close")
             cast(Any, self._request.channel).persistent = False
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/ports.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/ports.py
@@ -1,6 +1,6 @@
 """What an adapter gives to an entry, so that it can run on a platform."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -74,9 +74,6 @@
     addresses_path: bytes
     ready_path: bytes
 
-    def read_data_centre(self, args: Mapping[bytes, list[bytes]]) -> str:
-        """Return the data centre nearest to the caller that asks."""
-
     def answer(self, addresses: Collection[str], *, ttl_s: float) -> bytes:
         """Return the body of an answer."""
 
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -19,10 +19,8 @@
         default=0.2, description="Repeated tries, as a share of the requests."
     )
     retry_slack: NotNegative = Field(
-        default=20.0, description="Repeated tries beyond that, in a window."
-    )
-    retry_window_s: Positive = Field(
-        default=10.0, description="Window of the two bounds on repeated tries."
+        default=20.0,
+        description="Repeated tries beyond that, in the window of the bound.",
     )
     probes_hz: NotNegative = Field(
         default=20.0, description="Probes of one upstream a second."
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -53,7 +53,6 @@
         "health_path": "/healthz",
         "connections": 100,
         "ramp_hz": 20.0,
-        "warmup_s": 3.0,
         **fields,
     }
     return RoutedService(**values)
