Refuse at once what no upstream can serve

Cause: a request of high rank waited in line for up to half of its time also when its service had no upstream left that takes work. The test waits for half an hour without the change (it was ended after 20 s), and ends at once with it.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -131,12 +131,19 @@
         self.outliers.keep_only(v.upstream.id for v in self.views.values())
         return [k for k, v in before.items() if self.views.get(k) is not v]
 
-    def _usable(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
+    def _takes_work(self, view: UpstreamView, wanted: Wanted) -> bool:
         if view.registration.leaving or view.elsewhere:
             return False
         if view.registration.data_centre in self._out:
             return False
-        if view.registration.id in wanted.excluded:
+        return view.registration.id not in wanted.excluded
+
+    def can_serve(self, wanted: Wanted) -> bool:
+        """Tell whether any upstream may take a request, now or later."""
+        return any(self._takes_work(view, wanted) for view in self.views.values())
+
+    def _usable(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
+        if not self._takes_work(view, wanted):
             return False
         return not view.is_cold(now_s=now_s) or self._cold.has_room(
             view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -108,7 +108,10 @@
             chosen = await self._find(seeker)
             if chosen is not None:
                 return chosen
-        if not wait or self._clock() >= seeker.patience.until_s:
+        now_s = self._clock()
+        if not wait or now_s >= seeker.patience.until_s:
+            return None
+        if not self.pool.can_serve(seeker.wanted(now_s=now_s)):
             return None
         return await self._wait(seeker)
 
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -201,7 +201,11 @@
     assert len(client.sent) == 1
 
 
-def test_without_upstreams_the_refusal_comes_at_once() -> None:
-    refused = run(ScriptedClient(), upstreams=0, rank=2, objective_s=0.05)
+@pytest.mark.parametrize("rank", [0, 2])
+def test_without_upstreams_the_refusal_comes_at_once(rank: int) -> None:
+    # Waiting would take half an hour.
+    refused = run(
+        ScriptedClient(), upstreams=0, rank=rank, timeout_s=3600.0, objective_s=3600.0
+    )
     assert refused.verdict is Verdict.NOT_RUN
     assert refused.reason is Reason.NO_UPSTREAM
