Pause between tries for a hedge

Cause: found by reading. Once a try was late and a hedge was not allowed (the route's runs, the budget) or found no room, the request's loop went on without a pause until the try ended, at the cost of all processor time of its process. The test counts readings of the clock; it fails before and passes after.

--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -35,6 +35,9 @@
 # Less time than this, in multiples of the work, is no use to another try.
 MIN_LEFT_SHARE = 0.7
 
+# Time after which a hedge that found no room or no budget is tried again.
+HEDGE_PAUSE_S = 0.02
+
 Running = asyncio.Task[RoutedAnswer]
 _ORDER = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
@@ -164,6 +167,7 @@
         self._open: dict[Running, RoutedTry] = {}
         self._excluded: set[str] = set()
         self._runs = 0
+        self._hedge_at_s = float("inf")
         self._verdict = Verdict.NOT_RUN
         self._last = Result.UNREACHABLE
         self._failure: RoutedAnswer | None = None
@@ -202,16 +206,23 @@
                 return self._end()
 
     def _wait_s(self) -> float:
-        if not self._route.idempotent or len(self._open) != 1 or self._runs > 1:
-            return max(0.0, self._left_s)
-        (only,) = self._open.values()
-        return max(0.0, min(self._left_s, self._work.late_s - only.elapsed_s))
+        wait_s = self._left_s
+        if self._may_hedge():
+            wait_s = min(wait_s, self._hedge_at_s - self._parts.clock())
+        return max(0.0, wait_s)
 
-    def _hedge_due(self) -> bool:
+    def _may_hedge(self) -> bool:
         if not self._route.idempotent or len(self._open) != 1:
             return False
-        (only,) = self._open.values()
-        return only.elapsed_s >= self._work.late_s
+        return self._runs < self._route.max_runs
+
+    def _hedge_due(self) -> bool:
+        """Tell whether to try for a hedge; a hedge refused may come later."""
+        now_s = self._parts.clock()
+        if not self._may_hedge() or now_s < self._hedge_at_s:
+            return False
+        self._hedge_at_s = now_s + HEDGE_PAUSE_S
+        return True
 
     def _take(self, done: set[Running]) -> RoutedAnswer | None:
         for task in done:
@@ -303,6 +314,7 @@
             candidates=chosen.candidates,
         )
         self._excluded.add(view.registration.id)
+        self._hedge_at_s = self._parts.clock() + self._work.late_s
         self._runs += 1
         task = asyncio.ensure_future(started.run(self._caller))
         self._open[task] = started
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -46,6 +46,7 @@
         self._steps = list(steps)
         self.sent: list[str] = []
         self.cancelled: list[str] = []
+        self.clock_reads = 0
 
     async def send(self, upstream: Any, request: Any, **_: Any) -> UpstreamAnswer:
         self.sent.append(upstream.name)
@@ -109,7 +110,12 @@
     """Return the answer to a request, or the refusal."""
 
     async def serve() -> Any:
-        clock = asyncio.get_running_loop().time
+        now = asyncio.get_running_loop().time
+
+        def clock() -> float:
+            client.clock_reads += 1
+            return now()
+
         dispatcher = make_dispatcher(client, clock=clock, upstreams=upstreams)
         # Budgets start empty and fill with requests.
         for _ in range(5):
@@ -201,6 +207,13 @@
     assert len(client.sent) == 1
 
 
+def test_a_hedge_that_is_not_allowed_costs_no_time() -> None:
+    client = ScriptedClient("hang")
+    run(client, timeout_s=1.0, max_runs=1)
+    # A loop without a pause would read the clock many thousand times.
+    assert client.clock_reads < 1000
+
+
 @pytest.mark.parametrize("rank", [0, 2])
 def test_without_upstreams_the_refusal_comes_at_once(rank: int) -> None:
     # Waiting would take half an hour.
