--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -1,6 +1,7 @@
 """Assembly of an entry that serves routes."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import uuid
@@ -48,6 +49,9 @@
 UPSTREAM_IDLE_S = 8.0
 STOP_STEP_S = 0.05
 METRICS_AFTER_S = 2.0
+# Callers that connect while an entry starts wait for its first reading of the
+# store no longer than this; then they are told to come back.
+FIRST_READ_S = 0.3
 
 
 class RoutedApp:
@@ -73,6 +77,7 @@
         self._clock = asyncio.get_running_loop().time
         self._rng = random.Random()
         self._closing = False
+        self._known = asyncio.Event()
         self._background: list[asyncio.Task[Any]] = []
         self._listing_task: asyncio.Task[None]
         settings = self._settings
@@ -214,6 +219,8 @@
 
     def _on_change(self) -> None:
         world = self._knowledge.world
+        if world.config is not None:
+            self._known.set()
         self._instances.update(world.instances())
         self._pools.apply(world, entries=self._instances.names(), now_s=self._clock())
         for suspect in world.crash_suspects():
@@ -254,7 +261,7 @@
         stop : asyncio.Event
             Set when the entry has to stop.
         """
-        port = self._listen()
+        self._listen()
         self._listing_task = asyncio.ensure_future(self._listing.run())
         self._background.append(self._listing_task)
         for work in (
@@ -263,10 +270,18 @@
             self._serve_metrics(),
         ):
             self._background.append(asyncio.ensure_future(work))
+        await self._wait_for_knowledge()
+        port = self._take_callers()
         _log.info("started", instance=self._own.name, incarnation=self._own.incarnation)
         await self._until(stop)
         await self._stop(port)
 
+    async def _wait_for_knowledge(self) -> None:
+        """Leave callers that have connected unread until they can be served."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_READ_S):
+                await self._known.wait()
+
     async def _until(self, stop: asyncio.Event) -> None:
         """Wait for the order to stop; raises what ends a task before that."""
         running = {asyncio.ensure_future(stop.wait()), *self._background}
@@ -277,7 +292,15 @@
             for task in done:
                 task.result()
 
-    def _listen(self) -> IListeningPort:
+    def _take_callers(self) -> IListeningPort:
+        port: IListeningPort = self._reactor.adoptStreamPort(
+            self._listener.fileno(), self._listener.family, self._site
+        )
+        # The reactor has a descriptor of its own.
+        self._listener.close()
+        return port
+
+    def _listen(self) -> None:
         settings = self._settings
         dialect = self._platform.directory
         directory = DirectoryResource(
@@ -290,13 +313,6 @@
         readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
         self._listen_at(settings.directory_address, DrainingSite(directory))
         self._listen_at(settings.check_address, DrainingSite(readiness))
-        port: IListeningPort = self._reactor.adoptStreamPort(
-            self._listener.fileno(), self._listener.family, self._site
-        )
-        # The reactor has a descriptor of its own.
-        self._listener.close()
-        return port
-
     def _listen_at(self, address: str | None, site: Site) -> None:
         if address is not None:
             host, number = split_address(address)
