Queue at an upstream only for an answer that is probably in time

Cause: requests accepted a queue at an upstream whose expected answer was just in time, so that half of them were late; late ones of high rank queued as well.

A place has to leave time for an answer slower than most, and late requests take only free slots.

The logs show why: upstreams of 6 slots held 12 to 17 requests, far beyond what this allows, because entries took old reports for free slots.

--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -88,15 +88,16 @@
     def wanted(self, *, excluded: frozenset[str], now_s: float) -> Wanted:
         """Return what it accepts now.
 
-        While its answer can be in time, a place that makes it so. After
-        that, only a slot that nobody uses: a late answer must not make
+        While its answer can be in time, a place that probably makes it so.
+        After that, only a slot that nobody uses: a late answer must not make
         others late.
         """
-        in_time_s = self.objective_at_s - now_s
-        if in_time_s > self.work_s:
+        if now_s <= self.late_from_s:
+            likely_s = self.objective_at_s - self.late_from_s
+            sureness = min(1.0, self.work_s / likely_s)
             return Wanted(
                 work_s=self.work_s,
-                within_s=in_time_s,
+                within_s=sureness * (self.objective_at_s - now_s),
                 excluded=excluded,
                 queue_slots=URGENT_QUEUE_SLOTS if self.urgent else QUEUE_SLOTS,
             )
@@ -104,7 +105,7 @@
             work_s=self.work_s,
             within_s=self.deadline_s - now_s,
             excluded=excluded,
-            queue_slots=QUEUE_SLOTS if self.urgent else 0.0,
+            queue_slots=0.0,
         )
 
 
--- a/tests/routed/test_waiting.py
+++ b/tests/routed/test_waiting.py
@@ -38,6 +38,19 @@
     assert wanted.queue_slots == 0.0
 
 
+def test_a_late_request_of_high_rank_leaves_queues_to_others_too() -> None:
+    wanted = make_patience(rank=1).wanted(excluded=frozenset(), now_s=0.25)
+    assert wanted.queue_slots == 0.0
+
+
+def test_a_place_is_accepted_only_if_most_answers_from_there_are_in_time() -> None:
+    route = make_route(objective_s=0.3, rank=1)
+    work = make_work(route, work_s=WORK_S, spread=0.3)
+    patience = Patience.of(route, work=work, arrived_at_s=0.0, deadline_s=2.0)
+    wanted = patience.wanted(excluded=frozenset(), now_s=0.1)
+    assert 0.13 < wanted.within_s < 0.15
+
+
 def test_higher_ranks_go_first_and_equals_in_their_order() -> None:
     line: WaitingLine[str] = WaitingLine()
     for name, rank in (("a", 2), ("b", 1), ("c", 2), ("d", 1)):
