Pass the store's changes on between instances

Ruled out: longer gathering (the bounds on configurations and leaving upstreams are 2 s), and cheap stale reads, which may be seconds old.

One instance in 16 of each data centre follows the store, by rendezvous hashing of the list; the others ask it, and leave it when it is silent, out of contact with the store, or does not follow it. An instance that the store turns away hears from the others. Failed calls back off up to 1 s, and end their pause when a renewal of the lease is answered.

--- a/packages/core/src/borageramp_core/_internal/routing/model.py
+++ b/packages/core/src/borageramp_core/_internal/routing/model.py
@@ -180,6 +180,8 @@
         Where it runs.
     caller_address, check_address : str
         ``host:port`` for callers, and for checks of its readiness.
+    peer_address : str or None
+        ``host:port`` for other instances; ``None`` if it takes none.
     """
 
     name: str
@@ -187,6 +189,7 @@
     data_centre: str
     caller_address: str
     check_address: str
+    peer_address: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -15,6 +15,7 @@
     Unreadable,
 )
 from borageramp_core._internal.routing.pool import Chosen, ServicePool, Wanted
+from borageramp_core._internal.routing.relays import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.state import UpstreamView
 from borageramp_core._internal.routing.table import RouteTable, choose_service
@@ -33,6 +34,7 @@
     "Instance",
     "Patience",
     "Registration",
+    "RelayPlan",
     "Route",
     "RouteTable",
     "RoutedService",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -15,6 +15,7 @@
     ColdBounds,
     Fact,
     Instance,
+    RelayPlan,
     UpstreamView,
 )
 from borageramp_entry._internal.addresses import split_address
@@ -27,6 +28,7 @@
 from borageramp_entry._internal.routed.knowledge import KnowledgeTask
 from borageramp_entry._internal.routed.listing import ListingTask
 from borageramp_entry._internal.routed.pages import (
+    ChangesResource,
     DirectoryResource,
     MetricsResource,
     ReadinessResource,
@@ -35,6 +37,7 @@
 from borageramp_entry._internal.routed.ports import Platform
 from borageramp_entry._internal.routed.prober import Prober
 from borageramp_entry._internal.routed.records import read_record
+from borageramp_entry._internal.routed.source import ChangeSource
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
 from borageramp_entry._internal.store.base import Item
 
@@ -87,6 +90,7 @@
             data_centre=settings.data_centre,
             caller_address=settings.caller_address,
             check_address=settings.check_address or settings.caller_address,
+            peer_address=settings.peer_address,
         )
         self._store = platform.open_store(settings)
         self._build_knowledge()
@@ -94,12 +98,20 @@
 
     def _build_knowledge(self) -> None:
         settings = self._settings
+        self._relays = RelayPlan(own=self._own)
+        self._source = ChangeSource(
+            store=self._store,
+            prefix=self._platform.watched_prefix,
+            plan=self._relays,
+            gather_s=settings.gather_s,
+            clock=self._clock,
+        )
         self._knowledge = KnowledgeTask(
             store=self._store,
             prefix=self._platform.watched_prefix,
             read_item=self._read_item,
             rejoin_s=settings.rejoin_s,
-            gather_s=settings.gather_s,
+            source=self._source,
             on_change=self._on_change,
             rng=self._rng,
             clock=self._clock,
@@ -109,6 +121,7 @@
             instance=self._own,
             lease_s=settings.lease_s,
             ready=self._ready,
+            is_relay=lambda: self._source.is_relay,
             on_checked=lambda answered: self._knowledge.on_store_checked(
                 answered=answered
             ),
@@ -222,6 +235,7 @@
         if world.config is not None:
             self._known.set()
         self._instances.update(world.instances())
+        self._relays.update(world.instances())
         self._pools.apply(world, entries=self._instances.names(), now_s=self._clock())
         for suspect in world.crash_suspects():
             self._crashes.learn(suspect)
@@ -313,6 +327,9 @@
         readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
         self._listen_at(settings.directory_address, DrainingSite(directory))
         self._listen_at(settings.check_address, DrainingSite(readiness))
+        changes = ChangesResource(source=self._source)
+        self._listen_at(settings.peer_address, DrainingSite(changes))
+
     def _listen_at(self, address: str | None, site: Site) -> None:
         if address is not None:
             host, number = split_address(address)
@@ -333,6 +350,7 @@
         for task in (*self._background, withdrawing):
             task.cancel()
         await self._client.close()
+        self._source.close()
         self._store.close()
         took_s = self._clock() - started_at_s
         _log.info("stopped", in_flight=self._front.in_flight, took_s=round(took_s, 2))
--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -1,20 +1,24 @@
 """Follows the store, and keeps what it told."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
 from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
 from borageramp_core.routing import Fact, Registration, Unreadable, World
 from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.source import ChangeSource
 from borageramp_entry._internal.store.base import Change, Item, Store
 
 __all__ = ["KnowledgeTask"]
 
 _log = get_logger(__name__)
 
-# Pause after a failed call, with as much again at random.
+# Pause after a failed call, with as much again at random; it doubles while the
+# calls fail. That the store is back shows first in the renewals of the lease.
 RETRY_S = 0.2
+MAX_RETRY_S = 1.0
 # A timer may fire a little before its time by another clock.
 TIMER_SLACK_S = 0.01
 
@@ -32,8 +36,8 @@
         Reads an item; ``None`` if it is of no interest.
     rejoin_s : float
         Time after an outage within which upstreams register again.
-    gather_s : float
-        Time for which changes are gathered, to be fetched in one call.
+    source : ChangeSource
+        Tells what changes.
     on_change : callable
         Called after each change of the world.
     rng : random.Random
@@ -54,7 +58,7 @@
         prefix: str,
         read_item: Callable[[Item], Fact | None],
         rejoin_s: float,
-        gather_s: float,
+        source: ChangeSource,
         on_change: Callable[[], None],
         rng: random.Random,
         clock: Callable[[], float],
@@ -64,7 +68,7 @@
         self._prefix = prefix
         self._read_item = read_item
         self._rejoin_s = rejoin_s
-        self._gather_s = gather_s
+        self._source = source
         self._on_change = on_change
         self._rng = rng
         self._clock = clock
@@ -72,6 +76,8 @@
         self._returned_at_s = float("-inf")
         self._reachable = True
         self._suspect = False
+        self._retry_s = RETRY_S
+        self._back = asyncio.Event()
         self._following: asyncio.Task[None] | None = None
 
     def age_s(self) -> float:
@@ -92,7 +98,16 @@
                 whole = False
             except StoreError as error:
                 self._on_failure(error)
-                await asyncio.sleep(RETRY_S * (1.0 + self._rng.random()))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next try, or until the store answers another call."""
+        self._back.clear()
+        pause_s = self._retry_s * (1.0 + self._rng.random())
+        self._retry_s = min(MAX_RETRY_S, 2.0 * self._retry_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._back.wait()
 
     def on_store_checked(self, *, answered: bool) -> None:
         """Take in whether the store answered another call.
@@ -102,6 +117,7 @@
         """
         if answered:
             self._on_answer()
+            self._back.set()
             if self._suspect:
                 self._suspect = False
                 self._restart()
@@ -130,12 +146,17 @@
     def _on_answer(self) -> None:
         now_s = self._clock()
         self._heard_at_s = now_s
+        self._retry_s = RETRY_S
+        self._source.on_contact()
         if not self._reachable:
             self._reachable = True
             self._returned_at_s = now_s
             _log.info("store regained", revision=self.world.revision)
 
     def _just_returned(self) -> bool:
+        """Tell whether an outage goes on, by own calls, or has just ended."""
+        if not self._reachable:
+            return True
         return self._clock() - self._returned_at_s < self._rejoin_s
 
     async def _read_all(self) -> None:
@@ -155,12 +176,13 @@
         self._on_change()
 
     async def _follow(self) -> None:
-        changes = self._store.watch(self._prefix, from_revision=self.world.revision + 1)
-        async for change in changes:
-            self._on_answer()
-            self._apply(change)
-            if change.written or change.deleted:
-                await asyncio.sleep(self._gather_s)
+        changes = self._source.follow(from_revision=self.world.revision + 1)
+        async with contextlib.aclosing(changes):
+            async for change in changes:
+                self._heard_at_s = self._clock()
+                if self._source.is_relay:
+                    self._on_answer()
+                self._apply(change)
 
     def _apply(self, change: Change) -> None:
         changed = False
--- a/packages/entry/src/borageramp_entry/_internal/routed/listing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/listing.py
@@ -13,8 +13,10 @@
 
 _log = get_logger(__name__)
 
-# Renewals in a lease, so that two may be lost.
+# Renewals in a lease, so that two may be lost. Whoever others ask for the
+# store's changes renews more often, as this shows that it is in contact.
 RENEWALS = 3
+RELAY_RENEWALS = 6
 RETRY_S = 0.3
 
 
@@ -31,6 +33,8 @@
         Length of the lease.
     ready : callable
         Tells whether this instance takes callers.
+    is_relay : callable
+        Tells whether others ask this instance for the store's changes.
     on_checked : callable
         Is told whether the store answered.
     """
@@ -42,12 +46,14 @@
         instance: Instance,
         lease_s: float,
         ready: Callable[[], bool],
+        is_relay: Callable[[], bool],
         on_checked: Callable[[bool], None],
     ) -> None:
         self._store = store
         self._instance = instance
         self._lease_s = lease_s
         self._ready = ready
+        self._is_relay = is_relay
         self._on_checked = on_checked
         self._lease_id = 0
         self._listed = False
@@ -56,7 +62,8 @@
     async def run(self) -> None:
         """Register, and renew the lease, until cancelled."""
         while True:
-            pause_s = self._lease_s / RENEWALS
+            renewals = RELAY_RENEWALS if self._is_relay() else RENEWALS
+            pause_s = self._lease_s / renewals
             try:
                 if await self._step():
                     self._on_checked(True)
--- a/packages/entry/src/borageramp_entry/_internal/routed/pages.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pages.py
@@ -6,16 +6,30 @@
 
 from twisted.web.server import Request
 
+from borageramp_core import HistoryLostError
 from borageramp_entry._internal.border.http import Leaf
+from borageramp_entry._internal.routed.feed import pack_change
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.ports import DirectoryDialect
+from borageramp_entry._internal.routed.source import (
+    CHANGES_PATH,
+    ChangeSource,
+    NoRelayError,
+)
 
 if TYPE_CHECKING:
     from borageramp_entry._internal.metrics import Metrics
 
-__all__ = ["DirectoryResource", "MetricsResource", "ReadinessResource"]
+__all__ = [
+    "ChangesResource",
+    "DirectoryResource",
+    "MetricsResource",
+    "ReadinessResource",
+]
 
 MAX_ADDRESSES = 64
+# Longest time for which another instance may wait for changes.
+MAX_WAIT_S = 5.0
 
 
 def _send(request: Request, status: int, body: bytes, content_type: bytes) -> None:
@@ -115,3 +129,39 @@
     async def serve(self, request: Request) -> None:
         """Serve a request."""
         _send(request, 200, self._metrics.text(), b"text/plain; version=0.0.4")
+
+
+class ChangesResource(Leaf):
+    """Tells other instances what changed in the store.
+
+    Parameters
+    ----------
+    source : ChangeSource
+        Where this instance has it from.
+    """
+
+    def __init__(self, *, source: ChangeSource) -> None:
+        super().__init__()
+        self._source = source
+
+    async def serve(self, request: Request) -> None:
+        """Serve a request."""
+        status, body = await self._answer(request)
+        _send(request, status, body, b"application/json")
+
+    async def _answer(self, request: Request) -> tuple[int, bytes]:
+        if request.path != CHANGES_PATH.encode():
+            return 404, b"{}"
+        args = request.args or {}
+        try:
+            after = int(args[b"after"][0])
+            wait_s = min(MAX_WAIT_S, float(args[b"wait_s"][0]))
+        except (KeyError, ValueError):
+            return 400, b"{}"
+        try:
+            change = await self._source.tell(after=after, wait_s=wait_s)
+        except NoRelayError:
+            return 503, b"{}"
+        except HistoryLostError:
+            return 410, b"{}"
+        return 200, pack_change(change)
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -24,6 +24,7 @@
     data_centre: str
     caller_address: str
     check_address: str
+    peer_address: str | None = None
 
 
 class _Suspect(StrictModel):
@@ -44,6 +45,7 @@
         data_centre=instance.data_centre,
         caller_address=instance.caller_address,
         check_address=instance.check_address,
+        peer_address=instance.peer_address,
     )
     return record.model_dump_json().encode()
 
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/source.py
@@ -0,0 +1,203 @@
+"""Where the changes of the store come from: the store, or another instance."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator, Callable
+
+from pydantic import ValidationError
+
+from borageramp_core import HistoryLostError, StoreError
+from borageramp_core.routing import Instance, RelayPlan
+from borageramp_entry._internal.addresses import split_address
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.feed import ChangeLog, unpack_change
+from borageramp_entry._internal.serving.http_client import (
+    HttpClient,
+    NotConnectedError,
+)
+from borageramp_entry._internal.serving.http_connection import BrokenExchangeError
+from borageramp_entry._internal.store.base import Change, Store
+
+__all__ = ["CHANGES_PATH", "ChangeSource", "NoRelayError"]
+
+_log = get_logger(__name__)
+
+CHANGES_PATH = "/changes"
+# Another instance is asked this often, so that its silence shows in time.
+POLL_S = 0.4
+# Time beyond that for its answer.
+ANSWER_S = 0.3
+# Without an answer of the store for this long, an instance may be cut off from
+# it, and no longer speaks for it.
+CONTACT_S = 0.9
+# An instance that could not tell, and a store that failed, are passed over.
+AVOID_S = 1.5
+IDLE_S = 5.0
+STATUS_OK = 200
+
+
+class NoRelayError(Exception):
+    """An instance can't tell others of the store's changes now."""
+
+
+class ChangeSource:
+    """Follows the store, by itself or through other instances.
+
+    Parameters
+    ----------
+    store : Store
+        The store.
+    prefix : str
+        Keys to follow.
+    plan : RelayPlan
+        Whom to ask.
+    gather_s : float
+        Time for which changes are gathered, to be fetched in one call.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        prefix: str,
+        plan: RelayPlan,
+        gather_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._plan = plan
+        self._gather_s = gather_s
+        self._clock = clock
+        self._http = HttpClient(idle_s=IDLE_S, max_idle=1)
+        self._kept = ChangeLog()
+        self._direct = False
+        self._contact_at_s = float("-inf")
+        self._avoid_store_until_s = float("-inf")
+        self._avoid_until_s: dict[str, float] = {}
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether others may ask this instance, if it is in contact."""
+        return self._direct
+
+    def on_contact(self) -> None:
+        """Take in that the store has answered a call."""
+        self._contact_at_s = self._clock()
+
+    async def follow(self, *, from_revision: int) -> AsyncGenerator[Change, None]:
+        """Yield the changes from a revision on; empty ones if nothing is new.
+
+        Raises
+        ------
+        StoreError
+            If neither the store nor another instance tells them.
+        """
+        after = from_revision - 1
+        while True:
+            relay = self._relay()
+            if relay is None:
+                changes = self._from_store(after)
+            else:
+                changes = self._from_relay(relay, after)
+            async with contextlib.aclosing(changes):
+                async for change in changes:
+                    after = max(after, change.revision)
+                    yield change
+
+    def _relay(self) -> Instance | None:
+        """Return the instance to ask; ``None`` for the store."""
+        now_s = self._clock()
+        if self._plan.is_relay and now_s >= self._avoid_store_until_s:
+            return None
+        for relay in self._plan.others:
+            if now_s >= self._avoid_until_s.get(relay.name, now_s):
+                return relay
+        return None
+
+    async def _from_store(self, after: int) -> AsyncGenerator[Change, None]:
+        self._kept.reset(after)
+        self._direct = True
+        try:
+            async for change in self._store.watch(
+                self._prefix, from_revision=after + 1
+            ):
+                self.on_contact()
+                self._kept.append(change)
+                yield change
+                if change.written or change.deleted:
+                    await asyncio.sleep(self._gather_s)
+                if self._relay() is not None:
+                    return
+        except HistoryLostError:
+            raise
+        except StoreError as error:
+            self._avoid_store_until_s = self._clock() + AVOID_S
+            if self._relay() is None:
+                raise
+            _log.warning("store not followed", error=str(error))
+        finally:
+            self._direct = False
+            self._kept.wake()
+
+    async def _from_relay(
+        self, relay: Instance, after: int
+    ) -> AsyncGenerator[Change, None]:
+        while self._relay() is relay:
+            try:
+                change = await self._ask(relay, after)
+            except NoRelayError as error:
+                self._avoid_until_s[relay.name] = self._clock() + AVOID_S
+                _log.info("relay left", instance=relay.name, why=str(error))
+                return
+            after = max(after, change.revision)
+            yield change
+
+    async def _ask(self, relay: Instance, after: int) -> Change:
+        assert relay.peer_address is not None
+        path = f"{CHANGES_PATH}?after={after}&wait_s={POLL_S}"
+        try:
+            async with asyncio.timeout(POLL_S + ANSWER_S):
+                response = await self._http.request(
+                    split_address(relay.peer_address),
+                    "GET",
+                    path,
+                    connect_timeout_s=ANSWER_S,
+                )
+                body = await response.read_all()
+        except (NotConnectedError, BrokenExchangeError, TimeoutError) as error:
+            raise NoRelayError(repr(error)) from error
+        if response.status != STATUS_OK:
+            raise NoRelayError(f"status {response.status}")
+        try:
+            return unpack_change(body)
+        except ValidationError as error:
+            raise NoRelayError(str(error.errors()[0]["msg"])) from error
+
+    async def tell(self, *, after: int, wait_s: float) -> Change:
+        """Tell another instance what changed after a revision.
+
+        Raises
+        ------
+        NoRelayError
+            If this instance doesn't follow the store, or lost contact to it.
+        HistoryLostError
+            If it no longer has all of the changes.
+        """
+        self._check_contact()
+        if after >= self._kept.revision:
+            await self._kept.wait(wait_s)
+            self._check_contact()
+        return self._kept.since(after)
+
+    def _check_contact(self) -> None:
+        if not self._direct:
+            raise NoRelayError("the store is not followed here")
+        if self._clock() - self._contact_at_s > CONTACT_S:
+            raise NoRelayError("no contact with the store")
+
+    def close(self) -> None:
+        """Close the connections to other instances."""
+        self._http.close()
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -91,6 +91,22 @@
             raise BrokenExchangeError("the answer was cut short")
         return b""
 
+    async def read_all(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        BrokenExchangeError
+            If it was cut short.
+        """
+        parts = []
+        try:
+            while part := await self.read():
+                parts.append(part)
+        finally:
+            self.abort()
+        return b"".join(parts)
+
     async def _wait(self) -> None:
         self._arrived = asyncio.get_running_loop().create_future()
         try:
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -45,6 +45,11 @@
     check_address: HostPort | None = Field(
         default=None, description="Where readiness is asked for."
     )
+    peer_address: HostPort | None = Field(
+        default=None,
+        description="Where other instances ask for the store's changes; without "
+        "it, this one asks the store itself, and no other.",
+    )
     metrics_address: HostPort | None = Field(
         default=None, description="Where metrics are read."
     )
--- /dev/null
+++ b/tests/lib/peers.py
@@ -0,0 +1,48 @@
+"""A stand-in for the address at which an instance tells others of changes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from urllib.parse import parse_qs, urlsplit
+
+from borageramp_core import HistoryLostError
+from borageramp_entry._internal.routed.feed import pack_change
+from borageramp_entry._internal.routed.source import NoRelayError
+from borageramp_entry._internal.store.base import Change
+
+__all__ = ["Tell", "running_peer"]
+
+Tell = Callable[[int, float], Awaitable[Change]]
+
+
+async def _answer(tell: Tell, target: str) -> tuple[int, bytes]:
+    query = parse_qs(urlsplit(target).query)
+    try:
+        change = await tell(int(query["after"][0]), float(query["wait_s"][0]))
+    except NoRelayError:
+        return 503, b"{}"
+    except HistoryLostError:
+        return 410, b"{}"
+    return 200, pack_change(change)
+
+
+@asynccontextmanager
+async def running_peer(tell: Tell) -> AsyncIterator[str]:
+    """Serve what a function tells; yield the address."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                status, body = await _answer(tell, head.split()[1].decode())
+                length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+                writer.write(f"HTTP/1.1 {status} X\r\n".encode() + length + body)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -8,6 +8,7 @@
 from borageramp_core.routing import (
     ColdAllowance,
     ColdBounds,
+    Instance,
     Registration,
     Route,
     RoutedService,
@@ -62,6 +63,19 @@
     return RoutedSettings(**values)
 
 
+def make_instance(name: str = "i1", **fields: Any) -> Instance:
+    """Return an instance in this data centre that others may ask."""
+    values: dict[str, Any] = {
+        "incarnation": "1",
+        "data_centre": HERE,
+        "caller_address": "127.0.0.1:1003",
+        "check_address": "127.0.0.1:1004",
+        "peer_address": "127.0.0.1:1005",
+        **fields,
+    }
+    return Instance(name=name, **values)
+
+
 def make_config(version: int = 1, *routes: Route) -> RoutingConfig:
     """Return a configuration of one service."""
     return RoutingConfig(
