Take an upstream for full until its requests can have ended

Cause: whether an upstream has room was judged by a report whose count of other entries' requests halved every 20 ms.

A count falls no faster than the slots can work, and reports are new for 15 ms instead of 30.

--- a/packages/core/src/borageramp_core/_internal/load.py
+++ b/packages/core/src/borageramp_core/_internal/load.py
@@ -91,3 +91,16 @@
         age_s = now_s - self.reported_at_s
         trust = 0.5 ** min(64.0, age_s / REPORT_HALF_LIFE_S)
         return self.in_flight + trust * self.others + (1.0 - trust) * usual_others
+
+    def left(self, *, work_s: float, now_s: float) -> float:
+        """Return the requests that it has now if nobody else has sent any.
+
+        Parameters
+        ----------
+        work_s : float
+            Time that a request takes on an idle upstream.
+        now_s : float
+            Present time.
+        """
+        ended = self.slots * (now_s - self.reported_at_s) / work_s
+        return self.in_flight + max(0.0, self.others - ended)
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -18,8 +18,9 @@
 
 __all__ = ["Chosen", "ServicePool", "Wanted"]
 
-# A report of this age is as good as a new one.
-FRESH_S = 0.03
+# A report of this age is as good as a new one; meanwhile other entries may have
+# sent a request or two.
+FRESH_S = 0.015
 # Upstreams elsewhere cost bytes between data centres: near ones win ties.
 REMOTE_FACTOR = 1.3
 # How much an upstream's share of failures counts against it.
@@ -262,8 +263,9 @@
         return sound and self._usable(view, wanted, now_s=now_s)
 
     def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
-        requests = view.load.estimate(usual_others=0.0, now_s=now_s)
-        return requests < view.load.slots * (1.0 + wanted.queue_slots)
+        left = view.load.left(work_s=wanted.work_s, now_s=now_s)
+        # A request that may have ended in part has not left its slot.
+        return -(-left // 1.0) < view.load.slots * (1.0 + wanted.queue_slots)
 
     def _expectations(
         self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -92,12 +92,13 @@
         After that, only a slot that nobody uses: a late answer must not make
         others late.
         """
-        if now_s <= self.late_from_s:
+        in_time_s = self.objective_at_s - now_s
+        if now_s <= self.late_from_s and in_time_s > self.work_s:
             likely_s = self.objective_at_s - self.late_from_s
             sureness = min(1.0, self.work_s / likely_s)
             return Wanted(
                 work_s=self.work_s,
-                within_s=sureness * (self.objective_at_s - now_s),
+                within_s=sureness * in_time_s,
                 excluded=excluded,
                 queue_slots=URGENT_QUEUE_SLOTS if self.urgent else QUEUE_SLOTS,
             )
--- /dev/null
+++ b/tests/lib/overload.py
@@ -0,0 +1,270 @@
+"""A model of several entries that share the upstreams of a service.
+
+It runs the decisions of the entries, without a network: each asks upstreams
+for their load, places requests or lets them wait, and hears of load from
+answers. Time is simulated, and all randomness comes from a seed.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from borageramp_core import LoadReport, Result
+from borageramp_core.routing import (
+    Patience,
+    Route,
+    ServicePool,
+    WaitingLine,
+    WorkEstimate,
+)
+from tests.lib.routed import make_cold, make_pool, make_registration, make_work
+
+__all__ = ["Overload", "Tally"]
+
+PROBES = (3, 4)
+PROBE_S = 0.002
+STEP_S = 0.015
+# A report of this age is not asked for again.
+RECENT_S = 0.004
+# An upstream that is nearly full is slower.
+FULL_FACTOR = 1.3
+SPREAD = 0.3
+
+
+@dataclass(kw_only=True)
+class Tally:
+    """What became of the requests.
+
+    Attributes
+    ----------
+    in_time, late, refused : int
+        Requests by their end.
+    """
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+
+    @property
+    def share_in_time(self) -> float:
+        """Share that was answered in time."""
+        return self.in_time / (self.in_time + self.late + self.refused)
+
+
+@dataclass(kw_only=True)
+class _Upstream:
+    slots: int
+    running: int = 0
+    queue: deque["_Request"] = field(default_factory=deque)
+
+    @property
+    def requests(self) -> int:
+        return self.running + len(self.queue)
+
+
+@dataclass(kw_only=True)
+class _Entry:
+    pool: ServicePool
+    work: WorkEstimate
+    line: WaitingLine["_Request"] = field(default_factory=WaitingLine)
+    steps: bool = False
+
+
+@dataclass(kw_only=True)
+class _Request:
+    entry: _Entry
+    patience: Patience
+    upstream: str = ""
+    sent_at_s: float = 0.0
+
+
+class Overload:
+    """A burst of requests to one service.
+
+    Parameters
+    ----------
+    route : Route
+        Their route.
+    entries, upstreams, slots : int
+        Size of the fleet, and slots of each upstream.
+    work_s : float
+        Time that a request takes on an idle upstream.
+    rate_hz : float
+        Requests a second.
+    length_s : float
+        Length of the burst; half as many requests come for two seconds more.
+    seed : int
+        Seed of all randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        route: Route,
+        entries: int,
+        upstreams: int,
+        slots: int,
+        work_s: float,
+        rate_hz: float,
+        length_s: float,
+        seed: int,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._route = route
+        self._work_s = work_s
+        names = [f"u{i}" for i in range(upstreams)]
+        self._upstreams = {n: _Upstream(slots=slots) for n in names}
+        self._entries = [
+            _Entry(
+                pool=make_pool(
+                    *(make_registration(n, slots=slots) for n in names),
+                    cold=make_cold(),
+                    seed=seed * 1000 + i,
+                ),
+                work=make_work(route, work_s=work_s, spread=SPREAD),
+            )
+            for i in range(entries)
+        ]
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._now_s = 0.0
+        self._tally = Tally()
+        self._arrivals(rate_hz=rate_hz, length_s=length_s)
+
+    def _at(self, time_s: float, act: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (time_s, self._count, act))
+
+    def _arrivals(self, *, rate_hz: float, length_s: float) -> None:
+        time_s = 0.0
+        while time_s < length_s + 2.0:
+            time_s += self._rng.expovariate(
+                rate_hz if time_s < length_s else rate_hz / 2
+            )
+            self._at(time_s, self._arrive)
+
+    def run(self) -> Tally:
+        """Run until all requests have ended."""
+        while self._events:
+            self._now_s, _, act = heapq.heappop(self._events)
+            act()
+        return self._tally
+
+    def _arrive(self) -> None:
+        entry = self._rng.choice(self._entries)
+        patience = Patience.of(
+            self._route,
+            work=entry.work,
+            arrived_at_s=self._now_s,
+            deadline_s=self._now_s + self._route.timeout_s,
+        )
+        request = _Request(entry=entry, patience=patience)
+        if entry.line:
+            self._wait(request)
+        else:
+            self._ask(entry, request, lambda: self._try(request))
+
+    def _ask(self, entry: _Entry, request: _Request, then: Callable[[], None]) -> None:
+        """Ask upstreams as an entry does, and go on when they have answered."""
+        self._ask_some(entry, request, list(PROBES), then)
+
+    def _ask_some(
+        self,
+        entry: _Entry,
+        request: _Request,
+        counts: list[int],
+        then: Callable[[], None],
+    ) -> None:
+        wanted = request.patience.wanted(excluded=frozenset(), now_s=self._now_s)
+        if not counts or entry.pool.has_good(wanted, now_s=self._now_s):
+            then()
+            return
+        views = entry.pool.to_probe(wanted, count=counts[0], now_s=self._now_s)
+        views = [v for v in views if v.report_age_s(now_s=self._now_s) > RECENT_S]
+
+        def answered() -> None:
+            for view in views:
+                self._report(entry, view.registration.id)
+            self._ask_some(entry, request, counts[1:], then)
+
+        self._at(self._now_s + (PROBE_S if views else 0.0), answered)
+
+    def _report(self, entry: _Entry, name: str) -> None:
+        upstream = self._upstreams[name]
+        report = LoadReport(in_flight=upstream.requests, slots=upstream.slots)
+        entry.pool.on_report(entry.pool.views[name], report, now_s=self._now_s)
+
+    def _place(self, request: _Request) -> bool:
+        pool = request.entry.pool
+        wanted = request.patience.wanted(excluded=frozenset(), now_s=self._now_s)
+        chosen = pool.choose(wanted, now_s=self._now_s, fresh_only=True)
+        if chosen is None or not pool.start(chosen.view, now_s=self._now_s):
+            return False
+        request.upstream = chosen.view.registration.id
+        request.sent_at_s = self._now_s
+        upstream = self._upstreams[request.upstream]
+        if upstream.running < upstream.slots:
+            self._start(upstream, request)
+        else:
+            upstream.queue.append(request)
+        return True
+
+    def _start(self, upstream: _Upstream, request: _Request) -> None:
+        upstream.running += 1
+        work_s = self._work_s * self._rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+        if upstream.running >= upstream.slots - 1:
+            work_s *= FULL_FACTOR
+        self._at(self._now_s + work_s, lambda: self._end(upstream, request))
+
+    def _end(self, upstream: _Upstream, request: _Request) -> None:
+        upstream.running -= 1
+        if upstream.queue:
+            self._start(upstream, upstream.queue.popleft())
+        view = request.entry.pool.views[request.upstream]
+        request.entry.pool.finish(view, Result.ANSWERED, now_s=self._now_s)
+        self._report(request.entry, request.upstream)
+        request.entry.work.on_answer(self._now_s - request.sent_at_s, pace=1.0)
+        if self._now_s <= request.patience.objective_at_s:
+            self._tally.in_time += 1
+        else:
+            self._tally.late += 1
+
+    def _try(self, request: _Request) -> None:
+        if not self._place(request):
+            self._wait(request)
+
+    def _wait(self, request: _Request) -> None:
+        if self._now_s >= request.patience.until_s:
+            self._tally.refused += 1
+            return
+        entry = request.entry
+        entry.line.push(
+            request,
+            rank=self._route.rank,
+            late_from_s=request.patience.late_from_s,
+        )
+        if not entry.steps:
+            entry.steps = True
+            self._step_later(entry)
+
+    def _step_later(self, entry: _Entry) -> None:
+        pause_s = STEP_S * (0.5 + self._rng.random())
+        self._at(self._now_s + pause_s, lambda: self._step(entry))
+
+    def _step(self, entry: _Entry) -> None:
+        waiting = entry.line.take_all(now_s=self._now_s)
+        if not waiting:
+            entry.steps = False
+            return
+        self._ask(entry, waiting[0], lambda: self._round(entry, waiting))
+
+    def _round(self, entry: _Entry, waiting: list[_Request]) -> None:
+        misses = 0
+        for request in waiting:
+            placed = misses < 2 and self._place(request)
+            misses += not placed
+            if not placed:
+                self._wait(request)
+        self._step_later(entry)
--- a/tests/routed/test_pool.py
+++ b/tests/routed/test_pool.py
@@ -39,6 +39,15 @@
     assert choose(pool) == "free"
 
 
+def test_a_full_upstream_is_full_until_its_requests_can_have_ended() -> None:
+    pool = make_pool(make_registration())
+    pool.on_report(pool.views["u1"], make_report(4), now_s=1.0)
+    wanted = make_wanted(queue_slots=0.0)
+    assert pool.choose(wanted, now_s=1.02) is None
+    # One of four requests of 0.1 s each.
+    assert pool.choose(wanted, now_s=1.03) is not None
+
+
 def test_near_upstreams_win_ties() -> None:
     pool = make_pool(make_registration("far", data_centre=AWAY), make_registration())
     report(pool, "far")
--- a/tests/routed/test_store_client.py
+++ b/tests/routed/test_store_client.py
@@ -49,14 +49,18 @@
     with_store(test)
 
 
-def test_a_watch_tells_writes_and_removals_in_order() -> None:
+def test_a_watch_tells_how_each_item_is_after_its_events() -> None:
     async def test(fake: FakeStore, client: KeyValueStore) -> None:
         start = fake.revision
         fake.put("a", b"1")
+        fake.put("c", b"1")
         fake.remove("a")
+        fake.remove("c")
+        fake.put("c", b"2")
+        fake.put("d", b"1")
         changes = client.watch("", from_revision=start + 1)
         change = await anext(changes)
-        assert [i.value for i in change.written] == [b"1"]
+        assert [(i.key, i.value) for i in change.written] == [("c", b"2"), ("d", b"1")]
         assert change.deleted == ("a",)
         assert change.revision == fake.revision
         later = asyncio.ensure_future(anext(changes))
--- a/tests/routed/test_waiting.py
+++ b/tests/routed/test_waiting.py
@@ -51,6 +51,18 @@
     assert 0.13 < wanted.within_s < 0.15
 
 
+def test_what_can_never_be_in_time_takes_an_idle_slot_at_once() -> None:
+    route = make_route(objective_s=0.3, rank=2)
+    patience = Patience.of(
+        route,
+        work=make_work(route, work_s=0.5),
+        arrived_at_s=0.0,
+        deadline_s=2.0,
+    )
+    wanted = patience.wanted(excluded=frozenset(), now_s=0.0)
+    assert wanted.within_s == 2.0 and wanted.queue_slots == 0.0
+
+
 def test_higher_ranks_go_first_and_equals_in_their_order() -> None:
     line: WaitingLine[str] = WaitingLine()
     for name, rank in (("a", 2), ("b", 1), ("c", 2), ("d", 1)):
