Pause before a store that cut its watch is watched again

The store dropped its history and cut the watches at 2.20 s. The instances watched again within 17 ms, and that watch heard nothing for 4.6 s, not even that the history was gone. Ruled out: silent relays (all had left theirs by 2.22 s), and lost messages. Before changes were passed on, a pause of 0.2 s or more hid this.

--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -117,9 +117,9 @@
         """
         if answered:
             self._on_answer()
-            self._back.set()
             if self._suspect:
                 self._suspect = False
+                self._back.set()
                 self._restart()
             return
         self._suspect = True
--- a/packages/entry/src/borageramp_entry/_internal/routed/source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/source.py
@@ -6,7 +6,7 @@
 
 from pydantic import ValidationError
 
-from borageramp_core import HistoryLostError, StoreError
+from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
 from borageramp_core.routing import Instance, RelayPlan
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.logs import get_logger
@@ -96,8 +96,13 @@
             If neither the store nor another instance tells them.
         """
         after = from_revision - 1
+        first = True
         while True:
             relay = self._relay()
+            if relay is None and not first and not self._may_follow_store():
+                # The caller pauses, so that not all turn to the store at once.
+                raise StoreUnavailableError("no other instance tells of changes")
+            first = False
             if relay is None:
                 changes = self._from_store(after)
             else:
@@ -107,11 +112,14 @@
                     after = max(after, change.revision)
                     yield change
 
+    def _may_follow_store(self) -> bool:
+        return self._plan.is_relay and self._clock() >= self._avoid_store_until_s
+
     def _relay(self) -> Instance | None:
         """Return the instance to ask; ``None`` for the store."""
-        now_s = self._clock()
-        if self._plan.is_relay and now_s >= self._avoid_store_until_s:
+        if self._may_follow_store():
             return None
+        now_s = self._clock()
         for relay in self._plan.others:
             if now_s >= self._avoid_until_s.get(relay.name, now_s):
                 return relay
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -20,7 +20,7 @@
     ----------
     fault : str
         ``busy``, ``many``, ``silent``, ``reset``, ``lost`` (writes are done and
-        not answered) or empty.
+        not answered), ``deaf`` (watches hear nothing while they wait) or empty.
     calls : list of str
         Method and path of each call.
     """
@@ -97,7 +97,9 @@
         if after < self.oldest:
             return 410, {}
         changed = self._changed
-        if not [e for e in self.events if e["revision"] > after]:
+        if self.fault == "deaf":
+            await asyncio.sleep(int(query["wait_ms"]) / 1000)
+        elif not [e for e in self.events if e["revision"] > after]:
             try:
                 async with asyncio.timeout(int(query["wait_ms"]) / 1000):
                     await changed.wait()
--- a/tests/routed/test_knowledge.py
+++ b/tests/routed/test_knowledge.py
@@ -94,6 +94,17 @@
     follow(test)
 
 
+def test_a_watch_that_hears_nothing_of_dropped_history_is_soon_left() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.fault = "deaf"
+        fake.put("op/config", as_bytes(config_document(2)))
+        fake.forget_history()
+        async with asyncio.timeout(5):
+            await until(lambda: version(task) == 2)
+
+    follow(test)
+
+
 def test_an_outage_changes_nothing_and_ends() -> None:
     async def test(fake: FakeStore, task: KnowledgeTask) -> None:
         fake.fault = "reset"
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from borageramp_core import StoreUnavailableError
 from borageramp_core.routing import RelayPlan
 from borageramp_entry._internal.routed.source import ChangeSource, NoRelayError
 from borageramp_entry._internal.store.base import Change
@@ -40,6 +41,12 @@
         self._running = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(StoreUnavailableError):
+                await self._follow()
+            await asyncio.sleep(0.05)
+
+    async def _follow(self) -> None:
         changes = self.source.follow(from_revision=self.from_revision)
         async with contextlib.aclosing(changes):
             async for change in changes:
@@ -47,7 +54,7 @@
 
     async def until_heard(self, key: str) -> None:
         while key not in self.heard:
-            assert not self._running.done() or self._running.result()
+            assert not self._running.done()
             await asyncio.sleep(0.01)
 
     async def end(self) -> None:
