--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -30,6 +30,10 @@
 # What a good upstream reports, and its share of successes.
 GOOD_PACE = 1.2
 GOOD_SUCCESS = 0.9
+# How much of its slots a good upstream has in use, and how much it counts against
+# others that more are: some work slower when they are nearly full.
+GOOD_FILL = 0.67
+CROWDING = 0.3
 # Spreads entries that remember the same over upstreams that look alike.
 JITTER = 0.25
 # Largest share of a service's upstreams that may be ejected at once.
@@ -224,7 +228,13 @@
         compared = fresh or ([] if fresh_only else usable)
         expected = self._expectations(compared, wanted, now_s=now_s)
         costs = [
-            (self._penalty(view) * expected(view), self._rng.random(), view)
+            (
+                self._penalty(view)
+                * expected(view)
+                * self._crowding(view, now_s=now_s),
+                self._rng.random(),
+                view,
+            )
             for view in compared
             if self._has_room(view, wanted, now_s=now_s)
             and expected(view) <= wanted.within_s
@@ -255,7 +265,7 @@
             or view.report_age_s(now_s=now_s) > FRESH_S
         ):
             return False
-        if view.load.in_flight + view.load.others + 1 > view.load.slots:
+        if view.load.in_flight + view.load.others + 1 > GOOD_FILL * view.load.slots:
             return False
         if self.outliers.state(view.upstream.id).success < GOOD_SUCCESS:
             return False
@@ -278,10 +288,17 @@
         def expected_s(view: UpstreamView) -> float:
             pace = view.expected_pace(usual=usual_pace, now_s=now_s)
             requests = view.load.estimate(usual_others=usual_others, now_s=now_s)
-            return wanted.work_s * pace * max(1.0, (requests + 1.0) / view.load.slots)
+            filled = (requests + 1.0) / view.load.slots
+            return wanted.work_s * pace * max(1.0, filled)
 
         return expected_s
 
+    def _crowding(self, view: UpstreamView, *, now_s: float) -> float:
+        """Return how much an upstream stands back for being nearly full."""
+        requests = view.load.estimate(usual_others=0.0, now_s=now_s)
+        filled = min(1.0, (requests + 1.0) / view.load.slots)
+        return 1.0 + CROWDING * filled**2
+
     def _penalty(self, view: UpstreamView) -> float:
         """Return how much an upstream stands back behind others, as a factor."""
         success = self.outliers.state(view.upstream.id).success
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -28,8 +28,6 @@
 STEP_S = 0.015
 # A report of this age is not asked for again.
 RECENT_S = 0.004
-# An upstream that is nearly full is slower.
-FULL_FACTOR = 1.3
 SPREAD = 0.3
 
 
@@ -93,6 +91,8 @@
         Time that a request takes on an idle upstream.
     rate_hz : float
         Requests a second.
+    full_factor : float
+        How much longer work takes on an upstream that is nearly full.
     length_s : float
         Length of the burst; half as many requests come for two seconds more.
     seed : int
@@ -110,7 +110,11 @@
         rate_hz: float,
         length_s: float,
         seed: int,
+        full_factor: float = 1.3,
     ) -> None:
+        self._full_factor = full_factor
+        # Slots short of all at which an upstream is nearly full.
+        self._near = slots // 4
         self._rng = random.Random(seed)
         self._route = route
         self._work_s = work_s
@@ -214,8 +218,8 @@
     def _start(self, upstream: _Upstream, request: _Request) -> None:
         upstream.running += 1
         work_s = self._work_s * self._rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
-        if upstream.running >= upstream.slots - 1:
-            work_s *= FULL_FACTOR
+        if upstream.running >= upstream.slots - self._near:
+            work_s *= self._full_factor
         self._at(self._now_s + work_s, lambda: self._end(upstream, request))
 
     def _end(self, upstream: _Upstream, request: _Request) -> None:
--- a/tests/routed/test_overload.py
+++ b/tests/routed/test_overload.py
@@ -59,3 +59,20 @@
     tally = run(USUAL, work_s=0.09, load=1.15, seed=seed)
     assert tally.share_in_time > 0.72
     assert tally.late < 0.08 * (tally.in_time + tally.late + tally.refused)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_upstreams_that_are_slow_once_full(seed: int) -> None:
+    """Work goes to those with free slots, as long as there are any."""
+    tally = Overload(
+        route=make_route(objective_s=0.6, rank=2, timeout_s=4.0),
+        entries=18,
+        upstreams=13,
+        slots=3,
+        work_s=0.22,
+        rate_hz=0.4 * 13 * 3 / 0.22,
+        length_s=4.0,
+        seed=seed,
+        full_factor=2.0,
+    ).run()
+    assert tally.share_in_time > 0.985
