Leave slots free where filling them answers fewer requests

Entries compare the medians of answers of nearly full upstreams and of others, and leave a third of the slots free where the former take more than half longer.

An entry hears too few answers of one service within a burst, so that the comparison comes late, and stays when the burst is over.

--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -76,6 +76,7 @@
     patience: Patience
     upstream: str = ""
     sent_at_s: float = 0.0
+    filled: float = 0.0
 
 
 class Overload:
@@ -208,6 +209,8 @@
             return False
         request.upstream = chosen.view.registration.id
         request.sent_at_s = self._now_s
+        load = chosen.view.load
+        request.filled = (load.in_flight + load.others) / load.slots
         upstream = self._upstreams[request.upstream]
         if upstream.running < upstream.slots:
             self._start(upstream, request)
@@ -229,7 +232,10 @@
         view = request.entry.pool.views[request.upstream]
         request.entry.pool.finish(view, Result.ANSWERED, now_s=self._now_s)
         self._report(request.entry, request.upstream)
-        request.entry.work.on_answer(self._now_s - request.sent_at_s, pace=1.0)
+        took_s = self._now_s - request.sent_at_s
+        relative = took_s / request.entry.work.mean_s
+        request.entry.pool.crowding.on_answer(relative, filled=request.filled)
+        request.entry.work.on_answer(took_s, pace=1.0, filled=request.filled)
         if self._now_s <= request.patience.objective_at_s:
             self._tally.in_time += 1
         else:
