--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -13,7 +13,6 @@
 from borageramp_core._internal.messages import LoadReport, Result
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.routing.cold import ColdAllowance
-from borageramp_core._internal.routing.crowding import Crowding
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.state import UpstreamView, upstream_of
 
@@ -93,25 +92,16 @@
         Where this entry runs.
     cold : ColdAllowance
         What this entry may send to cold upstreams.
-    crowding : Crowding
-        How all services' upstreams work when they are nearly full.
     rng : random.Random
         Source of randomness.
     """
 
     def __init__(
-        self,
-        *,
-        name: str,
-        data_centre: str,
-        cold: ColdAllowance,
-        crowding: Crowding,
-        rng: random.Random,
+        self, *, name: str, data_centre: str, cold: ColdAllowance, rng: random.Random
     ) -> None:
         self.name = name
         self.views: dict[str, UpstreamView] = {}
         self.outliers = Outliers(max_share=EJECT_MAX_SHARE)
-        self.crowding = Crowding(elsewhere=crowding)
         self._data_centre = data_centre
         self._cold = cold
         self._rng = rng
@@ -283,13 +273,9 @@
         return sound and self._usable(view, wanted, now_s=now_s)
 
     def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
-        slots = view.load.slots
-        usable = self.crowding.usable(slots)
-        if usable == slots:
-            usable = slots * (1.0 + wanted.queue_slots)
-        # A request that may have ended in part has not left its slot.
         left = view.load.left(work_s=wanted.work_s, now_s=now_s)
-        return -(-left // 1.0) < usable
+        # A request that may have ended in part has not left its slot.
+        return -(-left // 1.0) < view.load.slots * (1.0 + wanted.queue_slots)
 
     def _expectations(
         self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -1,7 +1,6 @@
 """Decisions of an entry that serves routes, without input or output."""
 
 from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
-from borageramp_core._internal.routing.crowding import Crowding
 from borageramp_core._internal.routing.model import (
     CallerLimits,
     CrashSuspect,
@@ -30,7 +29,6 @@
     "ColdAllowance",
     "ColdBounds",
     "CrashSuspect",
-    "Crowding",
     "DataCentreOut",
     "Fact",
     "Instance",
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -7,7 +7,6 @@
 from borageramp_core import RatioBudget
 from borageramp_core.routing import (
     ColdAllowance,
-    Crowding,
     Registration,
     Route,
     ServicePool,
@@ -57,7 +56,6 @@
         self._on_gone = on_gone
         self._rng = rng
         self._entries = 1
-        self._crowding = Crowding()
         self._pools: dict[str, ServicePool] = {}
         self._repeats: dict[str, RatioBudget] = {}
         self._work: dict[str, WorkEstimate] = {}
@@ -100,7 +98,6 @@
                 name=service,
                 data_centre=self._data_centre,
                 cold=self.cold,
-                crowding=self._crowding,
                 rng=self._rng,
             )
             self._pools[service] = pool
--- a/packages/entry/src/borageramp_entry/_internal/routed/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/tries.py
@@ -75,8 +75,6 @@
         self.view = chosen.view
         self.started_at_s = clock()
         self._pace_then = chosen.view.pace
-        load = chosen.view.load
-        self._filled_then = (load.in_flight + load.others) / load.slots
         self._pool = pool
         self._work = work
         self._client = client
@@ -142,10 +140,7 @@
         if read.failed:
             self.end(Result.ERROR)
             return
-        took_s, pace = self.elapsed_s, self._pace_then
-        relative = took_s / (max(0.5, pace) * self._work.mean_s)
-        self._pool.crowding.on_answer(relative, filled=self._filled_then)
-        self._work.on_answer(took_s, pace=pace, filled=self._filled_then)
+        self._work.on_answer(self.elapsed_s, pace=self._pace_then)
         self.end(Result.ANSWERED)
 
     @property
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -76,7 +76,6 @@
     patience: Patience
     upstream: str = ""
     sent_at_s: float = 0.0
-    filled: float = 0.0
 
 
 class Overload:
@@ -209,8 +208,6 @@
             return False
         request.upstream = chosen.view.registration.id
         request.sent_at_s = self._now_s
-        load = chosen.view.load
-        request.filled = (load.in_flight + load.others) / load.slots
         upstream = self._upstreams[request.upstream]
         if upstream.running < upstream.slots:
             self._start(upstream, request)
@@ -232,10 +229,7 @@
         view = request.entry.pool.views[request.upstream]
         request.entry.pool.finish(view, Result.ANSWERED, now_s=self._now_s)
         self._report(request.entry, request.upstream)
-        took_s = self._now_s - request.sent_at_s
-        relative = took_s / request.entry.work.mean_s
-        request.entry.pool.crowding.on_answer(relative, filled=request.filled)
-        request.entry.work.on_answer(took_s, pace=1.0, filled=request.filled)
+        request.entry.work.on_answer(self._now_s - request.sent_at_s, pace=1.0)
         if self._now_s <= request.patience.objective_at_s:
             self._tally.in_time += 1
         else:
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -8,7 +8,6 @@
 from borageramp_core.routing import (
     ColdAllowance,
     ColdBounds,
-    Crowding,
     Instance,
     Registration,
     Route,
@@ -129,7 +128,6 @@
         name="records",
         data_centre=HERE,
         cold=cold or make_cold(),
-        crowding=Crowding(),
         rng=random.Random(seed),
     )
     pool.apply(
