Test the sums of repeated tries over all instances

The bound on repeated tries was shared out without a test of its own. Sums over 1 to 40 entries, also with lists that lack a third of them, stay within ratio and slack in each window of 10 s; no code changed.

--- /dev/null
+++ b/tests/routed/test_budgets.py
@@ -0,0 +1,65 @@
+"""Repeated tries over all instances stay within their bound.
+
+The bound is that of the operators: in each window, a share of the requests
+and a slack, over all instances together.
+"""
+
+import random
+
+import pytest
+
+from borageramp_core.routing import ColdAllowance, ColdBounds, World
+from borageramp_entry._internal.routed.pools import Pools
+from borageramp_settings import FleetBounds
+
+WINDOW_S = 10
+RATIO, SLACK = 0.2, 58.0
+REQUESTS_HZ = 300
+
+
+def make_pools(name: str, listed: frozenset[str]) -> Pools:
+    pools = Pools(
+        data_centre="north",
+        bounds=FleetBounds(retry_ratio=RATIO, retry_slack=SLACK),
+        cold=ColdAllowance(member=name, bounds=ColdBounds()),
+        on_gone=lambda view: None,
+        rng=random.Random(1),
+    )
+    pools.apply(World(), entries=listed, now_s=0.0)
+    return pools
+
+
+def spent_by_second(entries: int, *, unlisted: int, failing_at_s: int) -> list[int]:
+    """Return repeated tries by second; all tries fail from a time on."""
+    rng = random.Random(entries)
+    names = [f"e{i}" for i in range(entries)]
+    listed = frozenset(names[: entries - unlisted])
+    fleet = [make_pools(name, listed) for name in names]
+    spent = []
+    for second in range(3 * WINDOW_S):
+        repeats = 0
+        for _ in range(REQUESTS_HZ):
+            budget = rng.choice(fleet).repeats("records")
+            budget.earn()
+            while second >= failing_at_s and budget.spend():
+                repeats += 1
+        spent.append(repeats)
+    return spent
+
+
+@pytest.mark.parametrize("entries", [1, 2, 14, 18, 40])
+@pytest.mark.parametrize("unlisted_share", [0.0, 0.3])
+def test_a_calm_spell_then_failures_everywhere(
+    entries: int, unlisted_share: float
+) -> None:
+    """What was saved up in calm stays within the slack, also if lists differ."""
+    unlisted = int(unlisted_share * entries)
+    spent = spent_by_second(entries, unlisted=unlisted, failing_at_s=WINDOW_S)
+    for start in range(len(spent) - WINDOW_S + 1):
+        allowed = RATIO * REQUESTS_HZ * WINDOW_S + SLACK
+        assert sum(spent[start : start + WINDOW_S]) <= allowed
+
+
+def test_budgets_are_used_and_not_only_kept() -> None:
+    spent = spent_by_second(14, unlisted=0, failing_at_s=0)
+    assert sum(spent) > 0.5 * RATIO * REQUESTS_HZ * len(spent)
