--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -64,21 +64,17 @@
     ----------
     platform : Platform
         The platform that it runs on.
-    listeners : dict of str to socket.socket
-        Sockets that take connections already, by their addresses.
+    listener : socket.socket
+        Where callers connect.
     reactor : object
         The running reactor.
     """
 
     def __init__(
-        self,
-        *,
-        platform: Platform,
-        listeners: dict[str, socket.socket],
-        reactor: Any,
+        self, *, platform: Platform, listener: socket.socket, reactor: Any
     ) -> None:
         self._platform = platform
-        self._listeners = listeners
+        self._listener = listener
         self._reactor = reactor
         self._settings = platform.load_settings()
         self._clock = asyncio.get_running_loop().time
@@ -311,42 +307,33 @@
                 task.result()
 
     def _take_callers(self) -> IListeningPort:
-        """Answer callers, those that have connected before among them."""
+        port: IListeningPort = self._reactor.adoptStreamPort(
+            self._listener.fileno(), self._listener.family, self._site
+        )
+        # The reactor has a descriptor of its own.
+        self._listener.close()
+        return port
+
+    def _listen(self) -> None:
         settings = self._settings
+        dialect = self._platform.directory
         directory = DirectoryResource(
             instances=self._instances,
             ready=self._ready,
-            dialect=self._platform.directory,
+            dialect=dialect,
             ttl_s=lambda: self._settings.directory_ttl_s,
             rng=self._rng,
         )
+        readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
         self._listen_at(settings.directory_address, DrainingSite(directory))
-        port = self._listen_at(settings.caller_address, self._site)
-        assert port is not None
-        return port
-
-    def _listen(self) -> None:
-        """Answer checks and other instances."""
-        settings = self._settings
-        path = self._platform.directory.ready_path
-        readiness = ReadinessResource(ready=self._ready, path=path)
         self._listen_at(settings.check_address, DrainingSite(readiness))
         changes = ChangesResource(source=self._source)
         self._listen_at(settings.peer_address, DrainingSite(changes))
 
-    def _listen_at(self, address: str | None, site: Site) -> IListeningPort | None:
-        if address is None:
-            return None
-        listener = self._listeners.pop(address, None)
-        port: IListeningPort
-        if listener is None:
+    def _listen_at(self, address: str | None, site: Site) -> None:
+        if address is not None:
             host, number = split_address(address)
-            port = self._reactor.listenTCP(number, site, interface=host)
-            return port
-        port = self._reactor.adoptStreamPort(listener.fileno(), listener.family, site)
-        # The reactor has a descriptor of its own.
-        listener.close()
-        return port
+            self._reactor.listenTCP(number, site, interface=host)
 
     async def _stop(self, port: IListeningPort) -> None:
         started_at_s = self._clock()
--- a/packages/entry/src/borageramp_entry/_internal/routed/main.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/main.py
@@ -25,9 +25,8 @@
 ) -> None:
     """Run an entry until SIGTERM, and end the process.
 
-    It takes connections of callers, and their questions for addresses, before
-    it loads what answers them: loading is most of a start, and callers would
-    be turned away meanwhile.
+    It takes connections before it loads what serves them: loading is most of
+    a start, and callers would be turned away meanwhile.
 
     Parameters
     ----------
@@ -41,23 +40,18 @@
     # The settings are read after this, so that nothing is missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        listeners = open_listeners(load_settings())
+        listener = open_listener(load_settings().caller_address)
     except Exception as failure:
         from borageramp_entry._internal.routed.process import exit_before_serving
 
         exit_before_serving(failure, log_level=log_level)
     from borageramp_entry._internal.routed.process import serve_routed
 
-    serve_routed(load_platform(), listeners=listeners, log_level=log_level)
+    serve_routed(load_platform(), listener=listener, log_level=log_level)
 
 
-def open_listeners(settings: RoutedSettings) -> dict[str, socket.socket]:
-    """Return sockets that take connections, by the addresses of callers."""
-    addresses = {settings.caller_address, settings.directory_address}
-    return {address: _open(address) for address in addresses if address is not None}
-
-
-def _open(address: str) -> socket.socket:
+def open_listener(address: str) -> socket.socket:
+    """Return a socket that takes connections at an address."""
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -19,7 +19,7 @@
 __all__ = ["Placer", "Seeker"]
 
 # Upstreams asked before a request is placed, and when none of these is good.
-PROBES = (2, 5)
+PROBES = (3, 4)
 # Longest wait for their answers.
 PROBE_WAIT_S = 0.02
 # Time after which waiting requests look for room again.
--- a/packages/entry/src/borageramp_entry/_internal/routed/process.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/process.py
@@ -21,10 +21,7 @@
 
 
 def serve_routed(
-    platform: Platform,
-    *,
-    listeners: dict[str, socket.socket],
-    log_level: str = "info",
+    platform: Platform, *, listener: socket.socket, log_level: str = "info"
 ) -> None:
     """Run an entry until SIGTERM.
 
@@ -34,8 +31,8 @@
     ----------
     platform : Platform
         The platform that it runs on.
-    listeners : dict of str to socket.socket
-        Sockets that take connections already, by their addresses.
+    listener : socket.socket
+        Where callers connect.
     log_level : str
         Lowest level that is logged.
     """
@@ -49,7 +46,7 @@
 
     reactor: Any = installed
     failures: list[BaseException] = []
-    loop.call_soon(_start, platform, listeners, reactor, failures)
+    loop.call_soon(_start, platform, listener, reactor, failures)
     reactor.run(installSignalHandlers=False)
     if failures:
         _report(failures[0])
@@ -76,11 +73,11 @@
 
 def _start(
     platform: Platform,
-    listeners: dict[str, socket.socket],
+    listener: socket.socket,
     reactor: Any,
     failures: list[BaseException],
 ) -> None:
-    running = asyncio.ensure_future(_serve(platform, listeners, reactor))
+    running = asyncio.ensure_future(_serve(platform, listener, reactor))
 
     def ended(task: "asyncio.Task[None]") -> None:
         error = task.exception()
@@ -91,9 +88,7 @@
     running.add_done_callback(ended)
 
 
-async def _serve(
-    platform: Platform, listeners: dict[str, socket.socket], reactor: Any
-) -> None:
+async def _serve(platform: Platform, listener: socket.socket, reactor: Any) -> None:
     from borageramp_entry._internal.routed.app import RoutedApp
 
     # What is loaded stays for good and need not be looked at again.
@@ -103,6 +98,6 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    app = RoutedApp(platform=platform, listeners=listeners, reactor=reactor)
+    app = RoutedApp(platform=platform, listener=listener, reactor=reactor)
     loop.add_signal_handler(signal.SIGHUP, app.reload)
     await app.run(stop)
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Overload", "Tally"]
 
-PROBES = (2, 5)
+PROBES = (3, 4)
 PROBE_S = 0.002
 STEP_S = 0.015
 # A report of this age is not asked for again.
--- a/tests/routed/test_heavy_days.py
+++ b/tests/routed/test_heavy_days.py
@@ -58,13 +58,13 @@
 
 def test_a_quarter_of_the_upstreams_slow_at_any_moment() -> None:
     fleet = _Fleet(slow_share=0.25, change_s=0.5, seed=1)
-    paces = [fleet.place(probes=(2, 5), now_s=i * 0.05) for i in range(2000)]
+    paces = [fleet.place(probes=(3, 4), now_s=i * 0.05) for i in range(2000)]
     assert sum(p > 1.0 for p in paces) / len(paces) < 0.01
 
 
 def test_half_of_the_upstreams_slow_at_any_moment() -> None:
     fleet = _Fleet(slow_share=0.5, change_s=0.5, seed=1)
-    paces = [fleet.place(probes=(2, 5), now_s=i * 0.05) for i in range(2000)]
+    paces = [fleet.place(probes=(3, 4), now_s=i * 0.05) for i in range(2000)]
     # Seven at random are all slow once in 128 times.
     assert sum(p > 1.0 for p in paces) / len(paces) < 0.5**7
 
--- a/tests/routed/test_start.py
+++ b/tests/routed/test_start.py
@@ -23,24 +23,15 @@
     signal.signal(signal.SIGHUP, before)
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 @pytest.fixture
 def settings() -> RoutedSettings:
-    return make_settings(
-        caller_address=free_address(), directory_address=free_address()
-    )
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return make_settings(caller_address=f"127.0.0.1:{sock.getsockname()[1]}")
 
 
-@pytest.mark.parametrize("which", ["caller_address", "directory_address"])
-def test_callers_can_connect_while_the_rest_loads(
-    settings: RoutedSettings, which: str
-) -> None:
-    _, _, port = getattr(settings, which).rpartition(":")
+def test_callers_can_connect_while_the_rest_loads(settings: RoutedSettings) -> None:
+    _, _, port = settings.caller_address.rpartition(":")
 
     def load_platform() -> Platform:
         with socket.create_connection(("127.0.0.1", int(port)), timeout=5.0):
