Try no watch while the renewals of the lease fail

While they fail, the next try waits until one is answered, 4 s at most. The test counts calls of the stand-in in 1.5 s of an outage; it fails without the change.

--- a/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/knowledge.py
@@ -19,6 +19,9 @@
 # calls fail. That the store is back shows first in the renewals of the lease.
 RETRY_S = 0.2
 MAX_RETRY_S = 1.0
+# Longest pause while those calls fail too: they are tried more often, cost
+# less, and end it.
+OUTAGE_PAUSE_S = 4.0
 # A timer may fire a little before its time by another clock.
 TIMER_SLACK_S = 0.01
 
@@ -105,6 +108,8 @@
         self._back.clear()
         pause_s = self._retry_s * (1.0 + self._rng.random())
         self._retry_s = min(MAX_RETRY_S, 2.0 * self._retry_s)
+        if self._suspect:
+            pause_s = OUTAGE_PAUSE_S
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_s):
                 await self._back.wait()
--- a/tests/routed/test_knowledge.py
+++ b/tests/routed/test_knowledge.py
@@ -105,6 +105,25 @@
     follow(test)
 
 
+def test_no_watch_is_tried_while_the_renewals_of_the_lease_fail() -> None:
+    async def test(fake: FakeStore, task: KnowledgeTask) -> None:
+        fake.fault = "busy"
+        task.on_store_checked(answered=False)
+        fake.forget_history()
+        fake.oldest = 0
+        await asyncio.sleep(0.1)
+        before = len(fake.calls)
+        await asyncio.sleep(1.5)
+        assert len(fake.calls) <= before + 1
+        fake.fault = ""
+        fake.put("op/config", as_bytes(config_document(2)))
+        task.on_store_checked(answered=True)
+        async with asyncio.timeout(1):
+            await until(lambda: version(task) == 2)
+
+    follow(test)
+
+
 def test_an_outage_changes_nothing_and_ends() -> None:
     async def test(fake: FakeStore, task: KnowledgeTask) -> None:
         fake.fault = "reset"
