Refuse header sections that do not end in time

Cause: header_timeout_s of the operators' limits was decoded and not used; a caller that sends a line now and then is never idle for Twisted's own timeout. Ruled out: a timer for each request, as nearly all sections come whole.

A timer starts when data leaves a section unfinished, and answers 408 when it fires.

--- a/packages/entry/src/borageramp_entry/_internal/border/http.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/http.py
@@ -6,6 +6,8 @@
 from typing import Any, cast
 from weakref import WeakSet
 
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 from twisted.web import http
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
@@ -34,13 +36,53 @@
             super().handleContentChunk(data)
 
 
+LATE_HEADERS = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"
+
+
 class _Channel(http.HTTPChannel):
-    """A connection that sends small parts of an answer at once."""
+    """A connection that sends small parts of an answer at once.
+
+    Attributes
+    ----------
+    header_timeout_s : float or None
+        Time for the peer to send a header section it has begun.
+    """
+
+    header_timeout_s: float | None = None
+    _sections = 0
+    _late_call: Any = None
 
     def connectionMade(self) -> None:
         super().connectionMade()
         cast(Any, self.transport).setTcpNoDelay(True)
 
+    def dataReceived(self, data: bytes) -> None:
+        before = self._sections
+        super().dataReceived(data)
+        # Most header sections come whole and need no timer.
+        begun = self.line_mode and self._sections == before
+        if begun and self._late_call is None and self.header_timeout_s is not None:
+            self._late_call = self.callLater(self.header_timeout_s, self._on_late)
+
+    def allHeadersReceived(self) -> None:
+        self._sections += 1
+        self._stop_timer()
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._stop_timer()
+        super().connectionLost(reason)
+
+    def _stop_timer(self) -> None:
+        if self._late_call is not None:
+            self._late_call.cancel()
+            self._late_call = None
+
+    def _on_late(self) -> None:
+        self._late_call = None
+        cast(Any, self.transport).write(LATE_HEADERS)
+        self.loseConnection()
+
 
 class DrainingSite(Site):
     """A site that can end its connections without cutting a request."""
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -40,6 +40,7 @@
         self.timeOut = self.limits.idle_timeout_s
         wrapper = super().buildProtocol(addr)
         channel = cast(Any, wrapper)
+        channel.header_timeout_s = self.limits.header_timeout_s
         channel.totalHeadersSize = self.limits.max_header_bytes
         channel.MAX_LENGTH = self.limits.max_header_bytes
         return wrapper
