Check a platform's files with borageramp check, through its adapter

Asked for by the issue on explaining failures: a settings file or a configuration of the platform could not be checked before it was used.

The adapter offers two functions; the command names the module, so that no package imports the adapter. Faults that can be read but not served (unknown service, two routes of one place, no time for an answer) are found in the core.

--- a/packages/cli/src/borageramp_cli/_internal/commands/check.py
+++ b/packages/cli/src/borageramp_cli/_internal/commands/check.py
@@ -1,6 +1,8 @@
 """``borageramp check``: check files without a network."""
 
+import importlib
 from pathlib import Path
+from typing import Protocol, cast
 
 from borageramp_cli._internal.client import CommandError, OutputFormat
 from borageramp_cli._internal.exits import Exit
@@ -29,10 +31,24 @@
         raise CommandError(f"{file}: {error}", Exit.INVALID) from None
 
 
+class Adapter(Protocol):
+    """What an adapter to a platform offers to check its files.
+
+    Both raise ``SettingsError`` with every fault and its path.
+    """
+
+    def check_settings(self, text: str) -> None:
+        """Check the settings file of a process."""
+
+    def check_config(self, text: str) -> None:
+        """Check a configuration as operators write it."""
+
+
 def check(
     file: Path,
     *,
     entry_settings: bool = False,
+    adapter: str | None = None,
     format: OutputFormat = OutputFormat.text,
 ) -> int:
     """Check a configuration tree, without a network.
@@ -43,11 +59,15 @@
         YAML file.
     entry_settings
         Check the settings of an entry process instead.
+    adapter
+        Module of an adapter that checks the files of its platform instead.
     format
         How to print the result.
     """
     try:
-        if entry_settings:
+        if adapter is not None:
+            _check_with(_load(adapter), file, entry_settings=entry_settings)
+        elif entry_settings:
             load_entry_settings(file, {})
         else:
             validate_tree(read_tree(file))
@@ -64,3 +84,21 @@
     else:
         print(f"{file}: valid")
     return Exit.OK
+
+
+def _load(adapter: str) -> Adapter:
+    try:
+        return cast(Adapter, importlib.import_module(adapter))
+    except ImportError as error:
+        raise CommandError(f"--adapter {adapter}: {error}", Exit.INVALID) from None
+
+
+def _check_with(adapter: Adapter, file: Path, *, entry_settings: bool) -> None:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except UnicodeDecodeError:
+        raise CommandError(f"{file}: not UTF-8 text", Exit.INVALID) from None
+    if entry_settings:
+        adapter.check_settings(text)
+    else:
+        adapter.check_config(text)
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -1,6 +1,7 @@
 """Decisions of an entry that serves routes, without input or output."""
 
 from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
+from borageramp_core._internal.routing.faults import config_faults
 from borageramp_core._internal.routing.model import (
     CallerLimits,
     CrashSuspect,
@@ -48,5 +49,6 @@
     "WorkEstimate",
     "World",
     "choose_service",
+    "config_faults",
     "retry_after_s",
 ]
