--- a/packages/settings/src/borageramp_settings/_internal/base.py
+++ b/packages/settings/src/borageramp_settings/_internal/base.py
@@ -69,6 +69,14 @@
     """
     try:
         return yaml.load(text, Loader=LOADER)
+    except yaml.YAMLError:
+        return _parse_slowly(text)
+
+
+def _parse_slowly(text: str) -> Any:
+    """Read YAML with the loader that names the line where a fault begins."""
+    try:
+        return yaml.safe_load(text)
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         path = f"line {mark.line + 1}" if mark is not None else "(top level)"
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -10,6 +10,7 @@
     Resolver,
     apply_assignments,
     diff_trees,
+    parse_yaml,
     resolve,
     validate_tree,
 )
@@ -151,3 +152,12 @@
     )
     with pytest.raises(SettingsError):
         resolver.resolve(changed, revision=2)
+
+
+@pytest.mark.parametrize(
+    ("text", "path"), [("a: [", "line 1"), ("a: 1\nb: }", "line 2")]
+)
+def test_what_is_no_yaml_is_told_with_its_line(text: str, path: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        parse_yaml(text)
+    assert caught.value.faults[0].path == path
