Obey upstreams that leave or pause, stream large bodies, bound endless answers

Change: notices of upstreams in the core, kept for each start of an upstream, also while its entry in the store lapses and returns; bodies over 64 KB are passed on as they arrive, 256 KB held at most, and can be sent again while their start is held; bytes beside a body are bounded; unwanted answers are read up to a bound or their connection closed; a streamed answer ends at its deadline.

Ruled out: reuse of a connection whose answer came before the body was sent (the rest would pass for the next request); a bound on a body's length (operators set it, and a slow reader already bounds memory).

--- a/packages/core/src/borageramp_core/__init__.pyi
+++ b/packages/core/src/borageramp_core/__init__.pyi
@@ -48,6 +48,7 @@
 from ._internal.messages import (
     Finished,
     LoadReport,
+    Notice,
     PassOn,
     Placed,
     Placement,
@@ -116,6 +117,7 @@
     "Lifecycle",
     "ListedEntry",
     "LoadReport",
+    "Notice",
     "Member",
     "Membership",
     "OutcomeUnknownError",
--- a/packages/core/src/borageramp_core/_internal/messages.py
+++ b/packages/core/src/borageramp_core/_internal/messages.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Finished",
     "LoadReport",
+    "Notice",
     "PassOn",
     "Placed",
     "Placement",
@@ -49,6 +50,22 @@
     warmup_left_s: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Notice:
+    """What an upstream asks of an entry, with any of its answers.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it is leaving and wants nothing more until it starts anew.
+    pause_s : float
+        Seconds for which it wants nothing; 0 if it didn't ask for a pause.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Submit:
     """A request asks for an upstream.
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -7,16 +7,16 @@
 
 import random
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
 
 from borageramp_core._internal.load import UpstreamLoad
-from borageramp_core._internal.messages import LoadReport, Result
+from borageramp_core._internal.messages import LoadReport, Notice, Result
 from borageramp_core._internal.outliers import Outliers
+from borageramp_core._internal.routing.choice import Chosen, Wanted
 from borageramp_core._internal.routing.cold import ColdAllowance
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.state import UpstreamView, upstream_of
 
-__all__ = ["Chosen", "ServicePool", "Wanted"]
+__all__ = ["ServicePool"]
 
 # A report of this age is as good as a new one; meanwhile other entries may have
 # sent a request or two.
@@ -38,47 +38,14 @@
 JITTER = 0.25
 # Largest share of a service's upstreams that may be ejected at once.
 EJECT_MAX_SHARE = 0.5
+# How long it is kept that a start of an upstream said it was leaving: its entry
+# in the store may lapse and return while it serves on.
+LEAVING_KEPT_S = 600.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Wanted:
-    """A request that asks for an upstream.
-
-    Attributes
-    ----------
-    work_s : float
-        Time that it takes on an idle upstream.
-    within_s : float
-        Time within which its answer has to be expected.
-    excluded : collection of str
-        Upstreams that have had it.
-    queue_slots : float
-        How far it may queue at an upstream, in multiples of its slots.
-    """
-
-    work_s: float
-    within_s: float
-    excluded: Collection[str] = ()
-    queue_slots: float = 1.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Chosen:
-    """An upstream for a request, and why.
-
-    Attributes
-    ----------
-    view : UpstreamView
-        The upstream.
-    expected_s : float
-        Time to its answer.
-    candidates : int
-        Upstreams that were compared.
-    """
-
-    view: UpstreamView
-    expected_s: float
-    candidates: int
+_ANY_REQUEST = Wanted(work_s=0.0, within_s=0.0)
+# Identifier, address and start of an upstream's process.
+_Start = tuple[str, str, int]
 
 
 class ServicePool:
@@ -97,7 +64,12 @@
     """
 
     def __init__(
-        self, *, name: str, data_centre: str, cold: ColdAllowance, rng: random.Random
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        cold: ColdAllowance,
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.views: dict[str, UpstreamView] = {}
@@ -106,6 +78,7 @@
         self._cold = cold
         self._rng = rng
         self._out: Collection[str] = ()
+        self._left_at_s: dict[_Start, float] = {}
 
     def apply(
         self,
@@ -130,25 +103,47 @@
             known = before.get(registration.id)
             if known is None or not _same_start(known.registration, registration):
                 known = _new_view(registration, now_s=now_s)
+                known.leaving = _start_of(registration) in self._left_at_s
             known.registration = registration
             known.ramp_hz = ramp_hz
             self.views[registration.id] = known
         self.outliers.keep_only(v.upstream.id for v in self.views.values())
+        self._left_at_s = {
+            start: at_s
+            for start, at_s in self._left_at_s.items()
+            if now_s - at_s < LEAVING_KEPT_S
+        }
         return [k for k, v in before.items() if self.views.get(k) is not v]
 
     def _takes_work(self, view: UpstreamView, wanted: Wanted) -> bool:
-        if view.registration.leaving or view.elsewhere:
+        if view.registration.leaving or view.leaving or view.elsewhere:
             return False
         if view.registration.data_centre in self._out:
             return False
         return view.registration.id not in wanted.excluded
 
-    def can_serve(self, wanted: Wanted) -> bool:
-        """Tell whether any upstream may take a request, now or later."""
-        return any(self._takes_work(view, wanted) for view in self.views.values())
+    def can_serve(self, wanted: Wanted, *, now_s: float) -> bool:
+        """Tell whether any upstream may take a request, now or in time."""
+        until_s = now_s + wanted.within_s
+        return any(
+            self._takes_work(view, wanted) and view.paused_until_s < until_s
+            for view in self.views.values()
+        )
+
+    def pause_left_s(self, *, now_s: float) -> float:
+        """Return the time until some upstream takes requests again.
+
+        It is 0 unless all upstreams that take work asked for a pause.
+        """
+        ends_s = [
+            view.paused_until_s
+            for view in self.views.values()
+            if self._takes_work(view, _ANY_REQUEST)
+        ]
+        return max(0.0, min(ends_s, default=now_s) - now_s)
 
     def _usable(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
-        if not self._takes_work(view, wanted):
+        if not self._takes_work(view, wanted) or view.is_paused(now_s=now_s):
             return False
         return not view.is_cold(now_s=now_s) or self._cold.has_room(
             view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
@@ -344,10 +339,20 @@
         """Take in what an upstream says of itself."""
         view.on_report(report, now_s=now_s)
 
+    def on_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> None:
+        """Take in what an upstream asks for."""
+        view.on_notice(notice, now_s=now_s)
+        if notice.leaving:
+            self._left_at_s[_start_of(view.registration)] = now_s
+
+
+def _start_of(registration: Registration) -> _Start:
+    place = f"{registration.host}:{registration.port}"
+    return (registration.id, place, registration.started_ms)
+
 
 def _same_start(known: Registration, new: Registration) -> bool:
-    same_place = (known.host, known.port) == (new.host, new.port)
-    return same_place and known.started_ms == new.started_ms
+    return _start_of(known) == _start_of(new)
 
 
 def _new_view(registration: Registration, *, now_s: float) -> UpstreamView:
--- a/packages/core/src/borageramp_core/_internal/routing/state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/state.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from borageramp_core._internal.load import UpstreamLoad
-from borageramp_core._internal.messages import LoadReport
+from borageramp_core._internal.messages import LoadReport, Notice
 from borageramp_core._internal.model import Upstream
 from borageramp_core._internal.routing.model import Registration
 
@@ -15,6 +15,9 @@
 EJECT_S = 1.5
 # An upstream that didn't answer a probe is passed over this long.
 SILENCE_PENALTY_S = 0.4
+# Longest pause that an upstream can ask for, so that a nonsense figure doesn't
+# take it out of use for good.
+MAX_PAUSE_S = 300.0
 
 
 def upstream_of(registration: Registration) -> Upstream:
@@ -54,6 +57,10 @@
         Whether its health endpoint said that it is not well.
     elsewhere : bool
         Whether its address turned out to belong to another upstream.
+    leaving : bool
+        Whether it said itself that it is leaving, whatever the store says.
+    paused_until_s : float
+        Time until which it asked to get nothing.
     ramp_hz : float
         Requests a second that it bears while cold, over all entries.
     """
@@ -67,6 +74,8 @@
     silent_until_s: float = float("-inf")
     ill: bool = False
     elsewhere: bool = False
+    leaving: bool = False
+    paused_until_s: float = float("-inf")
     ramp_hz: float = field(default=0.0)
 
     def is_cold(self, *, now_s: float) -> bool:
@@ -89,6 +98,7 @@
             self.elsewhere = True
             return
         self.elsewhere = False
+        self.leaving |= report.leaving
         self.silent_until_s = float("-inf")
         self.load.on_report(report, now_s=now_s)
         self.pace = report.pace
@@ -99,3 +109,14 @@
     def on_silence(self, *, now_s: float) -> None:
         """Take in that the upstream did not answer a probe."""
         self.silent_until_s = now_s + SILENCE_PENALTY_S
+
+    def on_notice(self, notice: Notice, *, now_s: float) -> None:
+        """Take in what the upstream asks for."""
+        self.leaving |= notice.leaving
+        if notice.pause_s > 0:
+            until_s = now_s + min(MAX_PAUSE_S, notice.pause_s)
+            self.paused_until_s = max(self.paused_until_s, until_s)
+
+    def is_paused(self, *, now_s: float) -> bool:
+        """Tell whether it asked to get nothing now."""
+        return now_s < self.paused_until_s
--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from borageramp_core._internal.routing.choice import Wanted
 from borageramp_core._internal.routing.model import Route
-from borageramp_core._internal.routing.pool import Wanted
 from borageramp_core._internal.routing.work import WorkEstimate
 
 __all__ = ["Patience", "WaitingLine"]
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -1,5 +1,6 @@
 """Decisions of an entry that serves routes, without input or output."""
 
+from borageramp_core._internal.routing.choice import Chosen, Wanted
 from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
 from borageramp_core._internal.routing.faults import config_faults
 from borageramp_core._internal.routing.model import (
@@ -15,7 +16,7 @@
     ServiceShare,
     Unreadable,
 )
-from borageramp_core._internal.routing.pool import Chosen, ServicePool, Wanted
+from borageramp_core._internal.routing.pool import ServicePool
 from borageramp_core._internal.routing.relays import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.state import UpstreamView
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -37,6 +37,8 @@
 
 # Time after which a hedge that found no room or no budget is tried again.
 HEDGE_PAUSE_S = 0.02
+# Bytes of a body that tell requests apart: of a larger one no more may be known.
+FINGERPRINT_BODY_BYTES = 65_536
 
 Running = asyncio.Task[RoutedAnswer]
 _ORDER = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
@@ -148,7 +150,7 @@
         key="",
         method=caller.method,
         path=caller.path,
-        body=caller.body,
+        body=caller.body[:FINGERPRINT_BODY_BYTES],
     )
 
 
@@ -265,6 +267,9 @@
             return False
         if self._runs >= self._route.max_runs:
             return False
+        upload = self._caller.upload
+        if upload is not None and (self._open or not upload.repeatable):
+            return False
         if self._left_s < MIN_LEFT_SHARE * self._work.mean_s:
             return False
         if not self._repeats.spend():
@@ -350,7 +355,12 @@
             verdict=Verdict.NOT_RUN,
             reason=Reason.OVERLOADED if self._pool.views else Reason.NO_UPSTREAM,
             detail=f"no upstream of {self._pool.name} has room",
-            retry_after_s=self._retry_after_s(self._work.mean_s),
+            retry_after_s=self._retry_after_s(
+                max(
+                    self._work.mean_s,
+                    self._pool.pause_left_s(now_s=self._parts.clock()),
+                )
+            ),
         )
 
     def _shed(self) -> RefusedError:
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -9,7 +9,8 @@
 
 from borageramp_core import Reason, RefusedError, Verdict
 from borageramp_core.routing import CallerLimits, Route, World, choose_service
-from borageramp_entry._internal.border.http import BoundedRequest, DrainingSite, Leaf
+from borageramp_entry._internal.border.http import DrainingSite, Leaf
+from borageramp_entry._internal.border.uploads import StreamingRequest
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
 from borageramp_entry._internal.routed.ports import CallerDialect
@@ -32,6 +33,7 @@
 class FrontSite(DrainingSite):
     """A site with the operators' limits on callers."""
 
+    requestFactory = StreamingRequest
     limits = CallerLimits()
 
     def buildProtocol(self, addr: Any) -> Any:
@@ -94,11 +96,13 @@
         """Serve a request."""
         self.in_flight += 1
         try:
-            await _Exchange(self, cast(BoundedRequest, request)).run()
+            await _Exchange(self, cast(StreamingRequest, request)).run()
         finally:
             self.in_flight -= 1
 
-    def routed(self, request: BoundedRequest, *, arrived_at_s: float) -> RoutedRequest:
+    def routed(
+        self, request: StreamingRequest, *, arrived_at_s: float
+    ) -> RoutedRequest:
         """Return a request with its route.
 
         Raises
@@ -120,10 +124,11 @@
             path=request.uri.decode("latin-1"),
             headers=self.dialect.forwarded(_headers(request)),
             body=self._body(request),
+            upload=request.upload,
         )
         return RoutedRequest(caller=caller, route=route, arrived_at_s=arrived_at_s)
 
-    def _route(self, request: BoundedRequest) -> Route:
+    def _route(self, request: StreamingRequest) -> Route:
         if self._world.config is None:
             raise RefusedError(
                 verdict=Verdict.NOT_RUN,
@@ -138,7 +143,7 @@
             raise _refused(Reason.UNKNOWN_SERVICE, "no route matches the request")
         return route
 
-    def _body(self, request: BoundedRequest) -> bytes:
+    def _body(self, request: StreamingRequest) -> bytes:
         config = self._world.config
         limits = CallerLimits() if config is None else config.limits
         content = request.content
@@ -174,7 +179,7 @@
 class _Exchange:
     """One request of a caller, and its answer."""
 
-    def __init__(self, front: FrontResource, request: BoundedRequest) -> None:
+    def __init__(self, front: FrontResource, request: StreamingRequest) -> None:
         self._front = front
         self._request = request
         self._arrived_at_s = front.clock()
@@ -235,14 +240,12 @@
     async def _stream(self, answer: RoutedAnswer) -> str:
         """Pass a large answer on as it arrives, no faster than it is read."""
         self._request.registerProducer(cast(Any, self), True)
-        part = answer.body
         try:
-            while part:
-                await self._ready.wait()
-                self._request.write(part)
-                part = await answer.answer.read(DEFAULT_DEADLINE_S)
+            async with asyncio.timeout(self._left_s()):
+                await self._pass_on(answer)
         except (TryFailedError, TimeoutError) as error:
             _log.warning("answer cut short", request_id=self._id, error=repr(error))
+            answer.answer.abort()
             self._fail()
             return "cut_short"
         except BaseException:
@@ -252,6 +255,22 @@
         self._request.finish()
         return "answered"
 
+    async def _pass_on(self, answer: RoutedAnswer) -> None:
+        part = answer.body
+        while part:
+            await self._ready.wait()
+            self._request.write(part)
+            left_s = self._left_s()
+            if left_s <= 0:
+                # An answer that always has more ready never waits.
+                raise TimeoutError
+            part = await answer.answer.read(left_s)
+
+    def _left_s(self) -> float:
+        if self._routed is None:
+            return DEFAULT_DEADLINE_S
+        return self._routed.caller.deadline_s - self._front.clock()
+
     def pauseProducing(self) -> None:
         self._ready.clear()
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -111,7 +111,7 @@
         now_s = self._clock()
         if not wait or now_s >= seeker.patience.until_s:
             return None
-        if not self.pool.can_serve(seeker.wanted(now_s=now_s)):
+        if not self.pool.can_serve(seeker.wanted(now_s=now_s), now_s=now_s):
             return None
         return await self._wait(seeker)
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/tries.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from borageramp_core import Result
+from borageramp_core import LoadReport, Notice, Result
 from borageramp_core.routing import Chosen, ServicePool, WorkEstimate
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import (
@@ -92,8 +92,7 @@
         try:
             return await self._run(request)
         except TryFailedError as error:
-            if error.report is not None:
-                self.view.on_report(error.report, now_s=self._clock())
+            self._take_in(error.report, error.notice)
             self.end(error.result)
             raise
         except asyncio.CancelledError:
@@ -109,8 +108,7 @@
             deadline_ms=int(left_s * 1000),
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, left_s)),
         )
-        if answer.report is not None:
-            self.view.on_report(answer.report, now_s=self._clock())
+        self._take_in(answer.report, answer.notice)
         try:
             read = await self._read(answer, request)
         except BaseException:
@@ -119,6 +117,13 @@
         self._learn(read)
         return read
 
+    def _take_in(self, report: LoadReport | None, notice: Notice) -> None:
+        """Take in what the upstream says of itself, as soon as it is there."""
+        now_s = self._clock()
+        if report is not None:
+            self.view.on_report(report, now_s=now_s)
+        self._pool.on_notice(self.view, notice, now_s=now_s)
+
     async def _read(
         self, answer: UpstreamAnswer, request: CallerRequest
     ) -> RoutedAnswer:
--- a/packages/entry/src/borageramp_entry/_internal/serving/dialect.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/dialect.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from borageramp_core import LoadReport, Upstream
+from borageramp_core import LoadReport, Notice, Upstream
 from borageramp_entry._internal.serving.reports import parse_report
 from borageramp_entry._internal.serving.requests import (
     AnswerHead,
@@ -51,12 +51,15 @@
         Whether the upstream said that it did not run the request.
     foreign : bool
         Whether the answer names another request.
+    notice : Notice
+        What the upstream asks for.
     """
 
     head: AnswerHead
     report: LoadReport | None = None
     not_run: bool = False
     foreign: bool = False
+    notice: Notice = Notice()
 
 
 class UpstreamDialect(Protocol):
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -3,16 +3,21 @@
 import asyncio
 from collections import defaultdict
 
-from borageramp_entry._internal.serving.http_connection import (
-    HttpConnection,
-    HttpResponse,
-)
-from borageramp_entry._internal.serving.requests import Headers
+from borageramp_entry._internal.serving.http_connection import HttpConnection
+from borageramp_entry._internal.serving.http_response import HttpResponse
+from borageramp_entry._internal.serving.requests import BodySource, Headers
 
 __all__ = ["HttpClient", "NotConnectedError"]
 
 Place = tuple[str, int]
 
+# Requests that need not say that they have no body.
+BODILESS_METHODS = ("GET", "HEAD", "DELETE")
+CHUNKED: Headers = (("transfer-encoding", b"chunked"),)
+# Share of the time that a server keeps idle connections, as it says, for which
+# they are used: a request must not cross its close.
+KEEP_ALIVE_SHARE = 0.85
+
 
 class NotConnectedError(Exception):
     """No connection could be made; nothing was sent."""
@@ -27,7 +32,9 @@
     Parameters
     ----------
     idle_s : float
-        Time for which an idle connection is kept.
+        Time for which an idle connection is kept if its server doesn't say.
+    max_idle_s : float, optional
+        Longest time for which it is kept if it does; by default ``idle_s``.
     max_idle : int
         Idle connections kept to one server.
     watched : bool
@@ -40,9 +47,17 @@
         Connections opened.
     """
 
-    def __init__(self, *, idle_s: float, max_idle: int, watched: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        idle_s: float,
+        max_idle: int,
+        max_idle_s: float | None = None,
+        watched: bool = False,
+    ) -> None:
         self._watched = watched
         self._idle_s = idle_s
+        self._max_idle_s = idle_s if max_idle_s is None else max_idle_s
         self._max_idle = max_idle
         self._idle: defaultdict[Place, list[HttpConnection]] = defaultdict(list)
         self._timers: dict[HttpConnection, asyncio.TimerHandle] = {}
@@ -56,6 +71,7 @@
         *,
         headers: Headers = (),
         body: bytes = b"",
+        upload: BodySource | None = None,
         connect_timeout_s: float,
         fresh: bool = False,
     ) -> HttpResponse:
@@ -71,6 +87,8 @@
             Headers, without those on the length of the body.
         body : bytes
             The body.
+        upload : BodySource, optional
+            The body, in place of ``body``, sent as it arrives.
         connect_timeout_s : float
             Time for opening a connection.
         fresh : bool
@@ -86,8 +104,17 @@
         connection = None if fresh else self._take(place)
         if connection is None:
             connection = await self._open(place, connect_timeout_s, keep=not fresh)
-        data = _encode(place, method, path, headers, body)
-        response = connection.start(data, bodiless=method == "HEAD")
+        bodiless = method == "HEAD"
+        if upload is None:
+            length = len(body) if body or method not in BODILESS_METHODS else None
+            head = _encode(place, method, path, headers, length=length)
+            response = connection.start(head + body, bodiless=bodiless)
+        else:
+            framing = () if upload.length is not None else CHUNKED
+            head = _encode(
+                place, method, path, (*headers, *framing), length=upload.length
+            )
+            response = connection.start(head, bodiless=bodiless, upload=upload)
         try:
             await response.head()
         except BaseException:
@@ -131,8 +158,11 @@
         if len(idle) >= self._max_idle:
             self._drop(place, idle[0])
         idle.append(connection)
+        idle_s = self._idle_s
+        if connection.keep_alive_s is not None:
+            idle_s = min(self._max_idle_s, KEEP_ALIVE_SHARE * connection.keep_alive_s)
         self._timers[connection] = asyncio.get_running_loop().call_later(
-            self._idle_s, self._drop, place, connection
+            idle_s, self._drop, place, connection
         )
 
     def _drop(self, place: Place, connection: HttpConnection) -> None:
@@ -153,7 +183,7 @@
 
 
 def _encode(
-    place: Place, method: str, path: str, headers: Headers, body: bytes
+    place: Place, method: str, path: str, headers: Headers, *, length: int | None
 ) -> bytes:
     lines = [f"{method} {path} HTTP/1.1".encode("latin-1")]
     names = {name for name, _ in headers}
@@ -161,6 +191,6 @@
         host = f"[{place[0]}]" if ":" in place[0] else place[0]
         lines.append(f"host: {host}:{place[1]}".encode())
     lines += [name.encode("latin-1") + b": " + value for name, value in headers]
-    if body or method not in ("GET", "HEAD", "DELETE"):
-        lines.append(b"content-length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if length is not None:
+        lines.append(b"content-length: %d" % length)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -7,143 +7,34 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
-from borageramp_entry._internal.serving.requests import Headers
+from borageramp_entry._internal.serving.http_response import HttpResponse
+from borageramp_entry._internal.serving.requests import (
+    BodyCutError,
+    BodySource,
+)
 
-__all__ = ["BrokenExchangeError", "HttpConnection", "HttpResponse"]
+__all__ = ["HttpConnection"]
 
-# Bytes of an answer held for a slow reader before the server is paused.
-BUFFER_BYTES = 65_536
 FINAL_STATUS = 200
 # A peer that acknowledges nothing for this long is gone; without it, a cut
 # shows only when the system gives up, minutes later.
 SILENCE_MS = 1500
 KEEP_ALIVE_S = 1
+# Longest head of an answer, with all interim answers before it.
+MAX_HEAD_BYTES = 65_536
+# Bytes of framing (sizes and extensions of chunks, trailers) that an answer may
+# have, at first and for each byte of its body: chunks of one byte need six.
+MAX_FRAMING_BYTES = 65_536
+FRAMING_PER_BODY_BYTE = 16
 # Statuses whose answers have no body.
 BODILESS = (204, 304)
 
 
-class BrokenExchangeError(Exception):
-    """A connection broke while it had a request, or its answer made no sense."""
-
-
-class HttpResponse:
-    """An answer as it arrives.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status; 0 until the head has arrived.
-    headers : tuple of (str, bytes)
-        Headers with names in lower case.
-    """
-
-    def __init__(self, connection: "HttpConnection") -> None:
-        self.status = 0
-        self.headers: Headers = ()
-        self._connection = connection
-        self._chunks: deque[bytes] = deque()
-        self._held_bytes = 0
-        self._ended = False
-        self._whole = False
-        self._arrived: asyncio.Future[None] | None = None
-
-    @property
-    def ready(self) -> bool:
-        """Whether a part of the body can be read without waiting."""
-        return bool(self._chunks) or self._ended
-
-    async def head(self) -> None:
-        """Wait for the head.
-
-        Raises
-        ------
-        BrokenExchangeError
-            If the connection broke first.
-        """
-        while self.status == 0 and not self._ended:
-            await self._wait()
-        if self.status == 0:
-            raise BrokenExchangeError("no answer")
-
-    async def read(self) -> bytes:
-        """Return the next part of the body; empty at its end.
-
-        Raises
-        ------
-        BrokenExchangeError
-            If the body was cut short.
-        """
-        while not self.ready:
-            await self._wait()
-        if self._chunks:
-            chunk = self._chunks.popleft()
-            self._held_bytes -= len(chunk)
-            if self._held_bytes <= BUFFER_BYTES:
-                self._connection.resume()
-            return chunk
-        if not self._whole:
-            raise BrokenExchangeError("the answer was cut short")
-        return b""
-
-    async def read_all(self) -> bytes:
-        """Return the whole body.
-
-        Raises
-        ------
-        BrokenExchangeError
-            If it was cut short.
-        """
-        parts = []
-        try:
-            while part := await self.read():
-                parts.append(part)
-        finally:
-            self.abort()
-        return b"".join(parts)
-
-    async def _wait(self) -> None:
-        self._arrived = asyncio.get_running_loop().create_future()
-        try:
-            await self._arrived
-        finally:
-            self._arrived = None
-
-    def _notify(self) -> None:
-        if self._arrived is not None and not self._arrived.done():
-            self._arrived.set_result(None)
-
-    def on_head(self, status: int, headers: Headers) -> None:
-        """Take in the head."""
-        self.status = status
-        self.headers = headers
-        self._notify()
-
-    def on_body(self, data: bytes) -> None:
-        """Take in a part of the body."""
-        self._chunks.append(data)
-        self._held_bytes += len(data)
-        if self._held_bytes > BUFFER_BYTES:
-            self._connection.pause()
-        self._notify()
-
-    def on_end(self, *, whole: bool) -> None:
-        """Take in the end of the answer."""
-        self._ended = True
-        self._whole = whole
-        self._notify()
-
-    def abort(self) -> None:
-        """Drop the rest of the answer and its connection."""
-        if not self._ended:
-            self._connection.abort()
-
-
 class HttpConnection(asyncio.Protocol):
     """A connection that carries one exchange at a time.
 
@@ -153,6 +44,14 @@
         Gets the connection when it can carry another exchange.
     watched : bool
         Whether the system checks the peer while nothing is sent.
+
+    Attributes
+    ----------
+    keep_alive_s : float or None
+        Time for which the server keeps the connection idle; ``None`` if it
+        didn't say.
+    closed : bool
+        Whether it is of no more use.
     """
 
     def __init__(
@@ -166,45 +65,114 @@
         self._headers: list[tuple[str, bytes]] = []
         self._framed = False
         self._bodiless = False
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._paused = False
+        self._sending: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self.keep_alive_s: float | None = None
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take in that the connection is open."""
         self._transport = cast(asyncio.Transport, transport)
-        _notice_silence(transport.get_extra_info("socket"), watched=self._watched)
+        self._set_silence_ms(SILENCE_MS)
+        if self._watched:
+            _keep_alive(transport.get_extra_info("socket"))
 
-    def start(self, data: bytes, *, bodiless: bool = False) -> HttpResponse:
+    def start(
+        self, data: bytes, *, bodiless: bool = False, upload: BodySource | None = None
+    ) -> HttpResponse:
         """Send a request.
 
         Parameters
         ----------
         data : bytes
-            The request.
+            The request, or only its head if there is an ``upload``.
         bodiless : bool
             Whether its answer has no body, whatever its headers say.
+        upload : BodySource, optional
+            The body.
         """
         self._response = HttpResponse(self)
         self._parser = HttpResponseParser(self)
         self._headers = []
         self._bodiless = bodiless
+        self._received_bytes = 0
+        self._body_bytes = 0
         if self._transport is None or self.closed:
             self._response.on_end(whole=False)
         else:
             self._transport.write(data)
+            if upload is not None:
+                # A server may leave a body unread while the request waits for a
+                # slot, which looks like silence to the system.
+                self._set_silence_ms(0)
+                self._sending = asyncio.ensure_future(self._send(upload))
         return self._response
 
+    async def _send(self, upload: BodySource) -> None:
+        """Send a body as it arrives, no faster than the server reads it."""
+        offset = 0
+        chunked = upload.length is None
+        try:
+            while part := await upload.read(offset):
+                offset += len(part)
+                if upload.length is not None and offset > upload.length:
+                    raise BodyCutError("the body is longer than its length")
+                self._write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+                await self._writable.wait()
+            if upload.length is not None and offset < upload.length:
+                raise BodyCutError("the body is shorter than its length")
+            if chunked:
+                self._write(b"0\r\n\r\n")
+        except BodyCutError:
+            self.abort()
+        self._sending = None
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether a part of the request's body is yet to be sent."""
+        return self._sending is not None
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self.closed:
+            self._transport.write(data)
+
+    def pause_writing(self) -> None:
+        """Take in that the server doesn't read fast enough."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Take in that it has read what was sent."""
+        self._writable.set()
+
     def data_received(self, data: bytes) -> None:
         """Take in bytes of the server."""
         if self._response is None:
             # They belong to no request, and could pass for the next answer.
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserError:
+        except (HttpParserError, HttpParserUpgrade):
+            self.abort()
+        if self._is_endless():
             self.abort()
 
+    def _is_endless(self) -> bool:
+        """Tell whether an answer has more bytes beside its body than it may."""
+        response = self._response
+        if response is None:
+            return False
+        if response.status == 0:
+            return self._received_bytes > MAX_HEAD_BYTES
+        framing_bytes = self._received_bytes - self._body_bytes
+        allowed = MAX_HEAD_BYTES + MAX_FRAMING_BYTES
+        return framing_bytes > allowed + FRAMING_PER_BODY_BYTE * self._body_bytes
+
     def on_message_begin(self) -> None:
         """Take in, from the parser, that another answer begins."""
         if self._response is None:
@@ -222,6 +190,7 @@
         names = {name for name, _ in self._headers}
         self._framed = bool(names & {"content-length", "transfer-encoding"})
         self._framed |= status in BODILESS
+        self.keep_alive_s = _keep_alive_s(self._headers)
         self._response.on_head(status, tuple(self._headers))
         if self._bodiless:
             self._end(reusable=False)
@@ -229,6 +198,7 @@
     def on_body(self, data: bytes) -> None:
         """Take in a part of the body from the parser."""
         if self._response is not None:
+            self._body_bytes += len(data)
             self._response.on_body(data)
 
     def on_message_complete(self) -> None:
@@ -244,7 +214,9 @@
         response, self._response = self._response, None
         if response is not None:
             response.on_end(whole=True)
-        if reusable and not self.closed:
+        # The rest of a body that is still on its way could pass for a request.
+        if reusable and not self.closed and self._sending is None:
+            self._set_silence_ms(SILENCE_MS)
             self.resume()
             # Later, so that bytes after the answer are noticed first.
             asyncio.get_running_loop().call_soon(self._offer)
@@ -266,6 +238,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Take in that the connection is gone."""
         self.closed = True
+        self._stop_sending()
         response, self._response = self._response, None
         if response is not None:
             response.on_end(whole=False)
@@ -285,19 +258,45 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self.closed = True
+        self._stop_sending()
         if self._transport is not None:
             self._transport.abort()
         response, self._response = self._response, None
         if response is not None:
             response.on_end(whole=False)
 
+    def _set_silence_ms(self, silence_ms: int) -> None:
+        """Set how long the server may acknowledge nothing; 0 for the system's."""
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if _is_tcp(sock):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+
+    def _stop_sending(self) -> None:
+        sending, self._sending = self._sending, None
+        if sending is not None and sending is not asyncio.current_task():
+            sending.cancel()
+
+
+def _keep_alive_s(headers: list[tuple[str, bytes]]) -> float | None:
+    """Return the time for which a server keeps idle connections, if it says."""
+    for name, value in headers:
+        if name == "keep-alive":
+            for part in value.decode("latin-1").split(","):
+                key, _, seconds = part.strip().partition("=")
+                if key.lower() == "timeout" and seconds.isdecimal():
+                    return float(seconds[:9])
+    return None
+
+
+def _is_tcp(sock: Any) -> bool:
+    return sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6)
+
 
-def _notice_silence(sock: Any, *, watched: bool) -> None:
-    """Have the system close a connection whose peer is silent."""
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
-        return
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
-    if watched:
+def _keep_alive(sock: Any) -> None:
+    """Have the system check a peer to which nothing is sent."""
+    if _is_tcp(sock):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
--- a/packages/entry/src/borageramp_entry/_internal/serving/requests.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/requests.py
@@ -3,11 +3,47 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-__all__ = ["AnswerHead", "AnswerSink", "CallerRequest", "Headers"]
+__all__ = [
+    "AnswerHead",
+    "AnswerSink",
+    "BodyCutError",
+    "BodySource",
+    "CallerRequest",
+    "Headers",
+]
 
 Headers = tuple[tuple[str, bytes], ...]
 
 
+class BodyCutError(Exception):
+    """The rest of a request's body can't be read."""
+
+
+class BodySource(Protocol):
+    """The body of a request that may still be arriving.
+
+    Attributes
+    ----------
+    length : int or None
+        Its length in bytes; ``None`` if that is not known.
+    """
+
+    length: int | None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it can still be read from its start."""
+
+    async def read(self, offset: int) -> bytes:
+        """Return the next part from an offset on; empty at the end.
+
+        Raises
+        ------
+        BodyCutError
+            If that part can't be read.
+        """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerRequest:
     """A request that passed the checks at the border.
@@ -25,7 +61,9 @@
     headers : tuple of (str, bytes)
         Headers for the upstream.
     body : bytes
-        The whole body.
+        The whole body, or its first part if there is an ``upload``.
+    upload : BodySource or None
+        The whole body while it arrives, if it is large.
     key : str
         Key that decides on the request; empty if it has none.
     caller_key : str
@@ -49,6 +87,7 @@
     path: str
     headers: Headers
     body: bytes
+    upload: BodySource | None = None
     key: str = ""
     caller_key: str = ""
     issued_ms: int | None = None
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable
 from dataclasses import dataclass
 
-from borageramp_core import LoadReport, Result, Upstream
+from borageramp_core import LoadReport, Notice, Result, Upstream
 from borageramp_entry._internal.serving.dialect import (
     EntryDialect,
     HeadOfAnswer,
@@ -14,7 +14,7 @@
     HttpClient,
     NotConnectedError,
 )
-from borageramp_entry._internal.serving.http_connection import (
+from borageramp_entry._internal.serving.http_response import (
     BrokenExchangeError,
     HttpResponse,
 )
@@ -31,6 +31,7 @@
 # Idle connections are kept this long, and this many to one upstream.
 IDLE_S = 30.0
 MAX_IDLE = 32
+NO_NOTICE = Notice()
 
 
 class TryFailedError(Exception):
@@ -42,12 +43,21 @@
         How it ended.
     report : LoadReport or None
         What the upstream said of itself.
+    notice : Notice
+        What it asked for.
     """
 
-    def __init__(self, result: Result, report: LoadReport | None = None) -> None:
+    def __init__(
+        self,
+        result: Result,
+        report: LoadReport | None = None,
+        *,
+        notice: Notice = NO_NOTICE,
+    ) -> None:
         super().__init__(str(result))
         self.result = result
         self.report = report
+        self.notice = notice
 
 
 @dataclass(kw_only=True, slots=True)
@@ -60,11 +70,14 @@
         Status and headers.
     report : LoadReport or None
         What the upstream said of itself.
+    notice : Notice
+        What it asked for.
     """
 
     head: AnswerHead
     report: LoadReport | None
     _response: HttpResponse
+    notice: Notice = NO_NOTICE
 
     @property
     def ready(self) -> bool:
@@ -114,10 +127,13 @@
         Whether the upstream says that it is well.
     report : LoadReport or None
         What else it said of itself.
+    notice : Notice
+        What it asked for.
     """
 
     healthy: bool
     report: LoadReport | None
+    notice: Notice = NO_NOTICE
 
 
 class UpstreamClient:
@@ -128,14 +144,14 @@
     dialect : UpstreamDialect, optional
         Headers of requests and answers; by default this project's own.
     idle_s : float
-        Time for which an idle connection is kept.
+        Time for which an idle connection is kept if the upstream doesn't say.
     """
 
     def __init__(
         self, *, dialect: UpstreamDialect | None = None, idle_s: float = IDLE_S
     ) -> None:
         self._dialect = dialect or EntryDialect()
-        self._http = HttpClient(idle_s=idle_s, max_idle=MAX_IDLE)
+        self._http = HttpClient(idle_s=idle_s, max_idle=MAX_IDLE, max_idle_s=IDLE_S)
 
     @property
     def opened(self) -> int:
@@ -184,6 +200,7 @@
                 request, upstream=upstream, deadline_ms=deadline_ms
             ),
             body=request.body,
+            upload=request.upload,
             connect_timeout_s=connect_timeout_s,
             # On a connection that was idle, a break would leave it open
             # whether a keyed request ran; it must not be lost to that.
@@ -192,8 +209,14 @@
         response = await _head(asked, timeout_s=timeout_s)
         read = self._read_head(response, request_id=request.request_id)
         if read.not_run:
-            raise TryFailedError(Result.SHED, read.report)
-        return UpstreamAnswer(head=read.head, report=read.report, _response=response)
+            response.discard()
+            raise TryFailedError(Result.SHED, read.report, notice=read.notice)
+        return UpstreamAnswer(
+            head=read.head,
+            report=read.report,
+            notice=read.notice,
+            _response=response,
+        )
 
     def _read_head(self, response: HttpResponse, *, request_id: str) -> HeadOfAnswer:
         read = self._dialect.read_head(
@@ -236,9 +259,10 @@
             connect_timeout_s=connect_timeout_s,
         )
         response = await _head(asked, timeout_s=timeout_s)
+        response.discard()
         read = self._read_head(response, request_id="")
         healthy = response.status == STATUS_OK
-        return HealthAnswer(healthy=healthy, report=read.report)
+        return HealthAnswer(healthy=healthy, report=read.report, notice=read.notice)
 
     def forget(self, upstream: Upstream) -> None:
         """Close the idle connections to an upstream."""
--- a/packages/entry/src/borageramp_entry/routed.py
+++ b/packages/entry/src/borageramp_entry/routed.py
@@ -17,7 +17,7 @@
     HttpClient,
     NotConnectedError,
 )
-from borageramp_entry._internal.serving.http_connection import BrokenExchangeError
+from borageramp_entry._internal.serving.http_response import BrokenExchangeError
 from borageramp_entry._internal.serving.requests import (
     AnswerHead,
     CallerRequest,
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -3,20 +3,19 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
 
-from borageramp_core import Reason, RefusedError, Result, Verdict
+from borageramp_core import Notice, Reason, RefusedError, Result, Verdict
 from borageramp_core.routing import World
 from borageramp_entry._internal.routed.crashes import CrashWatch, make_suspects
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
-from borageramp_entry._internal.serving.http_connection import (
-    HttpConnection,
-    HttpResponse,
-)
+from borageramp_entry._internal.serving.http_connection import HttpConnection
+from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry._internal.serving.upstreams import (
     HealthAnswer,
     TryFailedError,
@@ -33,7 +32,15 @@
     make_route,
 )
 
-Step = Result | int | str
+
+@dataclass(frozen=True)
+class Shed:
+    """An upstream turns the request away and asks for something."""
+
+    notice: Notice
+
+
+Step = Result | int | str | Shed
 
 
 class ScriptedClient:
@@ -59,6 +66,8 @@
                 raise
         if isinstance(step, Result):
             raise TryFailedError(step)
+        if isinstance(step, Shed):
+            raise TryFailedError(Result.SHED, notice=step.notice)
         response = HttpResponse(HttpConnection(on_idle=lambda connection: None))
         response.on_head(int(step), ())
         response.on_body(b"body")
@@ -104,10 +113,28 @@
     )
 
 
+class Body:
+    """A large body, of which the start may no longer be there."""
+
+    length: int | None = None
+
+    def __init__(self, *, repeatable: bool) -> None:
+        self.repeatable = repeatable
+
+    async def read(self, offset: int) -> bytes:
+        return b""
+
+
 def run(
-    client: ScriptedClient, *, timeout_s: float = 1.0, upstreams: int = 4, **route: Any
+    client: ScriptedClient,
+    *,
+    timeout_s: float = 1.0,
+    upstreams: int = 4,
+    upload: Body | None = None,
+    requests: int = 1,
+    **route: Any,
 ) -> Any:
-    """Return the answer to a request, or the refusal."""
+    """Return the answer to the last of some requests, or the refusal."""
 
     async def serve() -> Any:
         now = asyncio.get_running_loop().time
@@ -131,14 +158,18 @@
             path="/",
             headers=(),
             body=b"",
+            upload=upload,
         )
         request = RoutedRequest(
             caller=caller, route=make_route(**route), arrived_at_s=clock()
         )
-        try:
-            return await dispatcher.run(request)
-        except RefusedError as error:
-            return error
+        outcome: Any = None
+        for _ in range(requests):
+            try:
+                outcome = await dispatcher.run(request)
+            except RefusedError as error:
+                outcome = error
+        return outcome
 
     return asyncio.run(serve())
 
@@ -222,3 +253,31 @@
     )
     assert refused.verdict is Verdict.NOT_RUN
     assert refused.reason is Reason.NO_UPSTREAM
+
+
+@pytest.mark.parametrize(("repeatable", "tries"), [(True, 2), (False, 1)])
+def test_a_large_body_is_sent_again_only_from_its_start(
+    repeatable: bool, tries: int
+) -> None:
+    client = ScriptedClient(Result.SHED, 200)
+    outcome = run(client, upload=Body(repeatable=repeatable), idempotent=False)
+    assert len(client.sent) == tries
+    if not repeatable:
+        assert outcome.verdict is Verdict.NOT_RUN
+        assert outcome.retry_after_s is not None
+
+
+def test_an_upstream_that_leaves_gets_no_other_request() -> None:
+    leaving, pausing = Shed(Notice(leaving=True)), Shed(Notice(pause_s=60.0))
+    client = ScriptedClient(leaving, pausing, 200, 200, 200)
+    answer = run(client, upstreams=3, requests=3)
+    assert answer.body == b"body"
+    assert len(set(client.sent[:3])) == 3
+    assert set(client.sent[3:]) == {client.sent[2]}
+
+
+def test_when_all_upstreams_pause_the_refusal_says_for_how_long() -> None:
+    client = ScriptedClient(Shed(Notice(pause_s=2.0)))
+    refused = run(client, upstreams=1, timeout_s=60.0, requests=2)
+    assert len(client.sent) == 1
+    assert refused.verdict is Verdict.NOT_RUN and refused.retry_after_s >= 1.9
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -9,14 +9,20 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
 import yaml
 
-from borageramp_entry.routed import HttpClient
+from borageramp_entry._internal.serving.http_response import HttpResponse
+from borageramp_entry.routed import BrokenExchangeError, HttpClient
 from tests.lib.platform_store import FakeStore, running_store
 from tests.lib.routed import HERE, as_bytes, config_document, upstream_document
 
 ROOT = Path(__file__).resolve().parents[2]
 WORK_S = 0.6
+# Uploads at once whose bodies don't fit the smallest machines.
+UPLOADS = 60
+UPLOAD_BYTES = 4_000_000
+SMALLEST_MEMORY_BYTES = 200_000_000
 
 
 def free_port() -> int:
@@ -26,10 +32,23 @@
 
 
 class Upstream:
-    """Answers each request after some work, and its health at once."""
+    """Answers each request after some work, and its health at once.
+
+    Attributes
+    ----------
+    address : str
+        Where it listens.
+    endless : bool
+        Whether its answers have bodies without an end.
+    reads : bool
+        Whether it reads the bodies of requests.
+    """
 
     def __init__(self) -> None:
         self.served = 0
+        self.address = ""
+        self.endless = False
+        self.reads = True
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -38,6 +57,10 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 body = b"well"
+                if "/healthz" not in head and not self.reads:
+                    await asyncio.sleep(3600)
+                if "/healthz" not in head and self.endless:
+                    await send_without_end(writer)
                 if "/healthz" not in head:
                     await asyncio.sleep(WORK_S)
                     self.served += 1
@@ -51,6 +74,16 @@
             writer.close()
 
 
+async def send_without_end(writer: asyncio.StreamWriter) -> None:
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nBorageramp-Response-Signature: s\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    while True:
+        writer.write(b"8000\r\n" + b"x" * 32_768 + b"\r\n")
+        await writer.drain()
+
+
 class Instance:
     """A running entry, and where it listens."""
 
@@ -89,8 +122,8 @@
             stdout=asyncio.subprocess.PIPE,
         )
 
-    async def get(self, port: int, path: str) -> tuple[int, bytes]:
-        response = await self.client.request(
+    async def ask(self, port: int, path: str) -> HttpResponse:
+        return await self.client.request(
             ("127.0.0.1", port),
             "GET",
             path,
@@ -101,6 +134,9 @@
             ),
             connect_timeout_s=1.0,
         )
+
+    async def get(self, port: int, path: str) -> tuple[int, bytes]:
+        response = await self.ask(port, path)
         body = b""
         while part := await response.read():
             body += part
@@ -135,7 +171,7 @@
         async with running_store() as store:
             config = config_document(timeout_s=3)
             store.put("op/config", as_bytes(config))
-            address = f"127.0.0.1:{port}"
+            address = upstream.address = f"127.0.0.1:{port}"
             store.put("servers/u1", as_bytes(upstream_document(address=address)))
             instance = Instance(store, folder)
             await instance.start()
@@ -242,3 +278,65 @@
             await other.end()
 
     with_instance(tmp_path, test)
+
+
+def peak_bytes(instance: Instance) -> int:
+    """Return the largest memory that the process has had."""
+    status = Path(f"/proc/{instance.process.pid}/status").read_text()
+    (line,) = (text for text in status.splitlines() if text.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
+async def upload(instance: Instance, number: int) -> int:
+    """Send a large body; return the status of the answer, 0 if there is none."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", instance.front)
+    head = (
+        f"POST /r/{number} HTTP/1.1\r\nHost: a.example\r\n"
+        f"Borageramp-Request-Id: u{number}\r\nBorageramp-Deadline-Ms: 3000\r\n"
+        f"Content-Length: {UPLOAD_BYTES}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    try:
+        writer.write(b"x" * UPLOAD_BYTES)
+        line = await reader.readline()
+        return int(line.split()[1]) if line else 0
+    except ConnectionError:
+        return 0
+    finally:
+        writer.transport.abort()
+
+
+def test_many_uploads_that_nobody_reads_fit_the_memory(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        config = config_document(2, timeout_s=3, kind="upload", attempts=1)
+        config["resources"][2]["spec"]["max_body_bytes"] = 2 * UPLOAD_BYTES
+        store.put("op/config", as_bytes(config))
+        document = upstream_document(address=upstream.address)
+        document["info"]["slots"] = UPLOADS
+        store.put("servers/u1", as_bytes(document))
+        upstream.reads = False
+        await asyncio.sleep(1.5)
+        statuses = await asyncio.gather(
+            *(upload(instance, number) for number in range(UPLOADS))
+        )
+        # What was sent may have run, so that no refusal says otherwise.
+        assert set(statuses) <= {503, 504}
+        assert peak_bytes(instance) < SMALLEST_MEMORY_BYTES
+
+    with_instance(tmp_path, test)
+
+
+def test_an_answer_without_end_is_cut_at_its_deadline(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        upstream.endless = True
+        started_s = asyncio.get_running_loop().time()
+        response = await instance.ask(instance.front, "/r/x")
+        with pytest.raises(BrokenExchangeError):
+            while await response.read():
+                await asyncio.sleep(0.001)
+        took_s = asyncio.get_running_loop().time() - started_s
+        assert took_s < 3.0 + 0.5
+        assert peak_bytes(instance) < SMALLEST_MEMORY_BYTES
+
+    events = with_instance(tmp_path, test)
+    assert "answer cut short" in events
