Compare a shortlist of upstreams at each entry

Connections were also closed after 8 s while upstreams keep them for 10, as they say.

Change: each entry has an order of its own of a service's upstreams (weighted rendezvous hashes, own data centre first) and compares those at its start that are usable: as many as get a request within 6 s, four at least. When none of those asked is good it compares twice as many for 2 s, until it compares all. Upstreams whose connection is in use by an own request are asked last. Idle connections are kept for nine tenths of the time that the server states.

The drivers of test_heavy_days.py, test_overload.py and one test of test_pool.py now count requests, as an entry does; their bounds are unchanged.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -14,6 +14,7 @@
 from borageramp_core._internal.routing.choice import Chosen, Wanted
 from borageramp_core._internal.routing.cold import ColdAllowance
 from borageramp_core._internal.routing.model import Registration, RoutedService
+from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.state import UpstreamView, upstream_of
 
 __all__ = ["ServicePool"]
@@ -36,6 +37,9 @@
 CROWDING = 0.3
 # Spreads entries that remember the same over upstreams that look alike.
 JITTER = 0.25
+# How much an upstream stands back to be asked for each own request that it has:
+# the connection to it is in use, and asking needs another.
+OWN_REQUEST_FACTOR = 0.5
 # Largest share of a service's upstreams that may be ejected at once.
 EJECT_MAX_SHARE = 0.5
 # How long it is kept that a start of an upstream said it was leaving: its entry
@@ -55,8 +59,10 @@
     ----------
     name : str
         Name of the service.
+    member : str
+        Name of this entry.
     data_centre : str
-        Where this entry runs.
+        Where it runs.
     cold : ColdAllowance
         What this entry may send to cold upstreams.
     rng : random.Random
@@ -67,12 +73,14 @@
         self,
         *,
         name: str,
+        member: str,
         data_centre: str,
         cold: ColdAllowance,
         rng: random.Random,
     ) -> None:
         self.name = name
         self.views: dict[str, UpstreamView] = {}
+        self.shortlist = Shortlist(member=member, data_centre=data_centre)
         self.outliers = Outliers(max_share=EJECT_MAX_SHARE)
         self._data_centre = data_centre
         self._cold = cold
@@ -108,6 +116,7 @@
             known.ramp_hz = ramp_hz
             self.views[registration.id] = known
         self.outliers.keep_only(v.upstream.id for v in self.views.values())
+        self.shortlist.update(self.views.values())
         self._left_at_s = {
             start: at_s
             for start, at_s in self._left_at_s.items()
@@ -155,14 +164,21 @@
         return not self.outliers.is_ejected(view.upstream.id, now_s=now_s)
 
     def usable(self, wanted: Wanted, *, now_s: float) -> list[UpstreamView]:
-        """Return the upstreams that may take a request.
+        """Return the upstreams to compare for a request, the preferred ones.
 
         Those that failed lately are left out as long as there are others.
         """
-        usable = [
-            v for v in self.views.values() if self._usable(v, wanted, now_s=now_s)
-        ]
-        sound = [v for v in usable if self._sound(v, now_s=now_s)]
+        width = self.shortlist.width(now_s=now_s)
+        usable: list[UpstreamView] = []
+        sound: list[UpstreamView] = []
+        for view in self.shortlist.order:
+            if not self._usable(view, wanted, now_s=now_s):
+                continue
+            usable.append(view)
+            if self._sound(view, now_s=now_s):
+                sound.append(view)
+                if len(sound) >= width:
+                    break
         return sound or usable
 
     def to_probe(
@@ -193,11 +209,14 @@
             v.registration.id: self._penalty(v)
             * expected(v)
             * (1.0 + JITTER * self._rng.random())
+            * (1.0 + OWN_REQUEST_FACTOR * v.load.in_flight)
             for v in usable
         }
         usable.sort(key=lambda v: spread[v.registration.id])
         # One at random keeps what is remembered of the others from ageing.
-        return [*usable[: count - 1], self._rng.choice(usable[count - 1 :])]
+        others = usable[count - 1 :]
+        idle = [v for v in others if v.load.in_flight == 0]
+        return [*usable[: count - 1], self._rng.choice(idle or others)]
 
     def choose(
         self, wanted: Wanted, *, now_s: float, fresh_only: bool = False
@@ -246,7 +265,8 @@
     def has_good(self, wanted: Wanted, *, now_s: float) -> bool:
         """Tell whether an upstream is as good as one may hope for."""
         return any(
-            self.is_good(view, wanted, now_s=now_s) for view in self.views.values()
+            self.is_good(view, wanted, now_s=now_s)
+            for view in self.usable(wanted, now_s=now_s)
         )
 
     def is_good(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/shortlist.py
@@ -0,0 +1,109 @@
+"""Which upstreams of a service an entry prefers, and how many it compares.
+
+An entry of a large fleet sends few requests, and there are hundreds of
+upstreams. Compared over all of them, hardly any request would find an open
+connection. So each entry has an order of its own, and compares those at its
+start: as many as get a request or so while idle connections last. The orders
+are weighted rendezvous hashes [1]_ of entry and upstream: all upstreams are
+covered alike, and one that comes or goes moves no other.
+
+References
+----------
+.. [1] C. Schindelhauer and G. Schomaker, "Weighted distributed hash tables",
+   Proc. 17th ACM SPAA, 2005.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+from borageramp_core._internal.routing.state import UpstreamView
+
+__all__ = ["Shortlist"]
+
+# Fewest upstreams that are compared: those asked at first, and one more.
+MIN_WIDTH = 4
+# Time within which each of them should get a request, so that connections to
+# them outlast the pauses between requests.
+REUSE_S = 6.0
+# Half-life of what is known of the rate of requests, and the factor that makes
+# a rate of a count that decays so.
+RATE_HALF_LIFE_S = 3.0
+LN_2 = 0.6931
+# Weight of upstreams in the entry's own data centre: bytes between data centres
+# cost, while entries and upstreams are spread over them unevenly.
+NEAR_WEIGHT = 3.0
+# Time after which a shortlist that was widened for want of room narrows again.
+WIDE_S = 2.0
+HASH_SPACE = 2.0**64
+
+
+class Shortlist:
+    """The upstreams of one service in the order in which one entry prefers them.
+
+    Parameters
+    ----------
+    member : str
+        Name of this entry.
+    data_centre : str
+        Where it runs.
+
+    Attributes
+    ----------
+    order : list of UpstreamView
+        All upstreams, the preferred ones first.
+    """
+
+    def __init__(self, *, member: str, data_centre: str) -> None:
+        self.order: list[UpstreamView] = []
+        self._member = member
+        self._data_centre = data_centre
+        self._scores: dict[str, float] = {}
+        self._rate_hz = 0.0
+        self._rate_at_s = float("-inf")
+        self._factor = 1
+        self._widened_at_s = float("-inf")
+
+    def update(self, views: Iterable[UpstreamView]) -> None:
+        """Apply a new list of upstreams."""
+        views = list(views)
+        scores = {v.registration.id: self._score(v) for v in views}
+        self._scores = scores
+        self.order = sorted(
+            views, key=lambda v: scores[v.registration.id], reverse=True
+        )
+
+    def _score(self, view: UpstreamView) -> float:
+        name = view.registration.id
+        known = self._scores.get(name)
+        if known is not None:
+            return known
+        text = f"{self._member}\0{name}".encode()
+        number = int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+        near = view.registration.data_centre == self._data_centre
+        share: float = number / HASH_SPACE
+        return share ** (1.0 / (NEAR_WEIGHT if near else 1.0))
+
+    def on_request(self, *, now_s: float) -> None:
+        """Count a request."""
+        self._rate_hz = self._rate(now_s=now_s) + LN_2 / RATE_HALF_LIFE_S
+        self._rate_at_s = now_s
+
+    def _rate(self, *, now_s: float) -> float:
+        age_s = now_s - self._rate_at_s
+        return float(self._rate_hz * 0.5 ** min(64.0, age_s / RATE_HALF_LIFE_S))
+
+    def width(self, *, now_s: float) -> int:
+        """Return how many upstreams are compared."""
+        if now_s - self._widened_at_s > WIDE_S:
+            self._factor = 1
+        wanted = round(self._rate(now_s=now_s) * REUSE_S)
+        return max(MIN_WIDTH, wanted) * self._factor
+
+    def widen(self, *, now_s: float) -> bool:
+        """Compare twice as many for a while; tell whether there are more."""
+        width = self.width(now_s=now_s)
+        self._widened_at_s = now_s
+        if width >= len(self.order):
+            return False
+        self._factor *= 2
+        return True
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -150,6 +150,7 @@
             bounds=ColdBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
         )
         self._pools = Pools(
+            member=self._own.name,
             data_centre=self._own.data_centre,
             bounds=bounds,
             cold=cold,
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -104,6 +104,7 @@
         wait : bool
             Whether it waits for room.
         """
+        self.pool.shortlist.on_request(now_s=self._clock())
         if not self._line:
             chosen = await self._find(seeker)
             if chosen is not None:
@@ -167,13 +168,29 @@
             self._push(seeker, placed)
 
     async def _find(self, seeker: Seeker) -> Chosen | None:
+        wider = False
         for count in PROBES:
-            now_s = self._clock()
-            wanted = seeker.wanted(now_s=now_s)
-            if self.pool.has_good(wanted, now_s=now_s):
-                break
-            views = self.pool.to_probe(wanted, count=count, now_s=now_s)
-            await self._ask(views, wanted)
+            if not await self._look(seeker, count=count):
+                return self._choose(seeker)
+            # None is good, so that more are compared, also for the next requests.
+            wider = self.pool.shortlist.widen(now_s=self._clock())
+        chosen = self._choose(seeker)
+        if chosen is None and wider:
+            await self._look(seeker, count=PROBES[-1])
+            chosen = self._choose(seeker)
+        return chosen
+
+    async def _look(self, seeker: Seeker, *, count: int) -> bool:
+        """Ask some upstreams for their load, if none is known to be good."""
+        now_s = self._clock()
+        wanted = seeker.wanted(now_s=now_s)
+        if self.pool.has_good(wanted, now_s=now_s):
+            return False
+        views = self.pool.to_probe(wanted, count=count, now_s=now_s)
+        await self._ask(views, wanted)
+        return True
+
+    def _choose(self, seeker: Seeker) -> Chosen | None:
         now_s = self._clock()
         wanted = seeker.wanted(now_s=now_s)
         chosen = self.pool.choose(wanted, now_s=now_s, fresh_only=True)
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -29,8 +29,10 @@
 
     Parameters
     ----------
+    member : str
+        Name of this entry.
     data_centre : str
-        Where this entry runs.
+        Where it runs.
     bounds : FleetBounds
         Bounds over all entries.
     cold : ColdAllowance
@@ -44,6 +46,7 @@
     def __init__(
         self,
         *,
+        member: str,
         data_centre: str,
         bounds: FleetBounds,
         cold: ColdAllowance,
@@ -52,6 +55,7 @@
     ) -> None:
         self.bounds = bounds
         self.cold = cold
+        self._member = member
         self._data_centre = data_centre
         self._on_gone = on_gone
         self._rng = rng
@@ -96,6 +100,7 @@
         if pool is None:
             pool = ServicePool(
                 name=service,
+                member=self._member,
                 data_centre=self._data_centre,
                 cold=self.cold,
                 rng=self._rng,
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -16,7 +16,7 @@
 CHUNKED: Headers = (("transfer-encoding", b"chunked"),)
 # Share of the time that a server keeps idle connections, as it says, for which
 # they are used: a request must not cross its close.
-KEEP_ALIVE_SHARE = 0.85
+KEEP_ALIVE_SHARE = 0.9
 
 
 class NotConnectedError(Exception):
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -7,7 +7,7 @@
 
 import heapq
 import random
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -29,6 +29,12 @@
 # A report of this age is not asked for again.
 RECENT_S = 0.004
 SPREAD = 0.3
+# Idle connections are closed after this.
+IDLE_S = 9.0
+# How much longer work takes on an upstream that is slow, and how often it
+# changes which are.
+SLOW_PACE = 7.0
+PACE_CHANGE_S = 0.5
 
 
 @dataclass(kw_only=True)
@@ -39,16 +45,24 @@
     ----------
     in_time, late, refused : int
         Requests by their end.
+    connections : int
+        Connections to upstreams opened, for probes and requests.
     """
 
     in_time: int = 0
     late: int = 0
     refused: int = 0
+    connections: int = 0
+
+    @property
+    def requests(self) -> int:
+        """Requests that came."""
+        return self.in_time + self.late + self.refused
 
     @property
     def share_in_time(self) -> float:
         """Share that was answered in time."""
-        return self.in_time / (self.in_time + self.late + self.refused)
+        return self.in_time / self.requests
 
 
 @dataclass(kw_only=True)
@@ -56,6 +70,10 @@
     slots: int
     running: int = 0
     queue: deque["_Request"] = field(default_factory=deque)
+    # Times until which idle connections stay open, by entry.
+    idle: defaultdict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
 
     @property
     def requests(self) -> int:
@@ -64,6 +82,7 @@
 
 @dataclass(kw_only=True)
 class _Entry:
+    name: str
     pool: ServicePool
     work: WorkEstimate
     line: WaitingLine["_Request"] = field(default_factory=WaitingLine)
@@ -76,6 +95,7 @@
     patience: Patience
     upstream: str = ""
     sent_at_s: float = 0.0
+    pace: float = 1.0
 
 
 class Overload:
@@ -97,6 +117,8 @@
         Length of the burst; half as many requests come for two seconds more.
     seed : int
         Seed of all randomness.
+    slow_share : float
+        Share of the upstreams that are slow at any moment, others each time.
     """
 
     def __init__(
@@ -111,7 +133,10 @@
         length_s: float,
         seed: int,
         full_factor: float = 1.3,
+        slow_share: float = 0.0,
     ) -> None:
+        self._seed = seed
+        self._slow_share = slow_share
         self._full_factor = full_factor
         # Slots short of all at which an upstream is nearly full.
         self._near = slots // 4
@@ -122,10 +147,12 @@
         self._upstreams = {n: _Upstream(slots=slots) for n in names}
         self._entries = [
             _Entry(
+                name=f"e{i}",
                 pool=make_pool(
                     *(make_registration(n, slots=slots) for n in names),
                     cold=make_cold(),
                     seed=seed * 1000 + i,
+                    member=f"e{i}",
                 ),
                 work=make_work(route, work_s=work_s, spread=SPREAD),
             )
@@ -165,6 +192,7 @@
             deadline_s=self._now_s + self._route.timeout_s,
         )
         request = _Request(entry=entry, patience=patience)
+        entry.pool.shortlist.on_request(now_s=self._now_s)
         if entry.line:
             self._wait(request)
         else:
@@ -182,22 +210,52 @@
         then: Callable[[], None],
     ) -> None:
         wanted = request.patience.wanted(excluded=frozenset(), now_s=self._now_s)
-        if not counts or entry.pool.has_good(wanted, now_s=self._now_s):
+        if entry.pool.has_good(wanted, now_s=self._now_s):
+            then()
+            return
+        if len(counts) < len(PROBES):
+            entry.pool.shortlist.widen(now_s=self._now_s)
+        if not counts:
             then()
             return
         views = entry.pool.to_probe(wanted, count=counts[0], now_s=self._now_s)
         views = [v for v in views if v.report_age_s(now_s=self._now_s) > RECENT_S]
 
+        for view in views:
+            self._connect(entry, view.registration.id)
+
         def answered() -> None:
             for view in views:
                 self._report(entry, view.registration.id)
+                self._release(entry, view.registration.id)
             self._ask_some(entry, request, counts[1:], then)
 
         self._at(self._now_s + (PROBE_S if views else 0.0), answered)
 
+    def _pace(self, name: str) -> float:
+        """Return how long work takes on an upstream now, 1.0 for as usual."""
+        if not self._slow_share:
+            return 1.0
+        change = int(self._now_s / PACE_CHANGE_S)
+        draw = random.Random(f"{self._seed} {name} {change}").random()
+        return SLOW_PACE if draw < self._slow_share else 1.0
+
+    def _connect(self, entry: _Entry, name: str) -> None:
+        """Take an idle connection, or open one."""
+        idle = self._upstreams[name].idle[entry.name]
+        while idle:
+            if idle.pop() >= self._now_s:
+                return
+        self._tally.connections += 1
+
+    def _release(self, entry: _Entry, name: str) -> None:
+        self._upstreams[name].idle[entry.name].append(self._now_s + IDLE_S)
+
     def _report(self, entry: _Entry, name: str) -> None:
         upstream = self._upstreams[name]
-        report = LoadReport(in_flight=upstream.requests, slots=upstream.slots)
+        report = LoadReport(
+            in_flight=upstream.requests, slots=upstream.slots, pace=self._pace(name)
+        )
         entry.pool.on_report(entry.pool.views[name], report, now_s=self._now_s)
 
     def _place(self, request: _Request) -> bool:
@@ -208,6 +266,8 @@
             return False
         request.upstream = chosen.view.registration.id
         request.sent_at_s = self._now_s
+        request.pace = chosen.view.pace
+        self._connect(request.entry, request.upstream)
         upstream = self._upstreams[request.upstream]
         if upstream.running < upstream.slots:
             self._start(upstream, request)
@@ -220,6 +280,7 @@
         work_s = self._work_s * self._rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
         if upstream.running >= upstream.slots - self._near:
             work_s *= self._full_factor
+        work_s *= self._pace(request.upstream)
         self._at(self._now_s + work_s, lambda: self._end(upstream, request))
 
     def _end(self, upstream: _Upstream, request: _Request) -> None:
@@ -229,7 +290,9 @@
         view = request.entry.pool.views[request.upstream]
         request.entry.pool.finish(view, Result.ANSWERED, now_s=self._now_s)
         self._report(request.entry, request.upstream)
-        request.entry.work.on_answer(self._now_s - request.sent_at_s, pace=1.0)
+        self._release(request.entry, request.upstream)
+        took_s = self._now_s - request.sent_at_s
+        request.entry.work.on_answer(took_s, pace=request.pace)
         if self._now_s <= request.patience.objective_at_s:
             self._tally.in_time += 1
         else:
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -122,10 +122,12 @@
     out: tuple[str, ...] = (),
     cold: ColdAllowance | None = None,
     seed: int = 1,
+    member: str = "e0",
 ) -> ServicePool:
     """Return a pool of upstreams that nothing is known of."""
     pool = ServicePool(
         name="records",
+        member=member,
         data_centre=HERE,
         cold=cold or make_cold(),
         rng=random.Random(seed),
--- a/tests/routed/test_budgets.py
+++ b/tests/routed/test_budgets.py
@@ -19,6 +19,7 @@
 
 def make_pools(name: str, listed: frozenset[str]) -> Pools:
     pools = Pools(
+        member="e0",
         data_centre="north",
         bounds=FleetBounds(retry_ratio=RATIO, retry_slack=SLACK),
         cold=ColdAllowance(member=name, bounds=ColdBounds()),
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -91,6 +91,7 @@
         world.put(f"servers/u{i}", make_registration(f"u{i}", port=1000 + i))
     rng = random.Random(1)
     pools = Pools(
+        member="e0",
         data_centre=HERE,
         bounds=FleetBounds(probes_hz=1000.0, retry_ratio=1.0),
         cold=make_cold(),
--- a/tests/routed/test_heavy_days.py
+++ b/tests/routed/test_heavy_days.py
@@ -45,6 +45,7 @@
     def place(self, *, probes: tuple[int, ...], now_s: float) -> float:
         """Place a request as an entry does, and return the pace it meets."""
         wanted = make_wanted()
+        self.pool.shortlist.on_request(now_s=now_s)
         for count in probes:
             if self.pool.has_good(wanted, now_s=now_s):
                 break
--- a/tests/routed/test_pool.py
+++ b/tests/routed/test_pool.py
@@ -126,6 +126,9 @@
     for i in range(10):
         report(pool, f"u{i}", pace=1.0 if i < 2 else 7.0)
     asked: set[str] = set()
+    for _ in range(10):
+        # An entry with many requests compares all upstreams.
+        pool.shortlist.on_request(now_s=1.1)
     for _ in range(100):
         views = pool.to_probe(make_wanted(), count=3, now_s=1.1)
         names = [v.registration.id for v in views]
