Pass the store's changes on compressed, from the largest machines

The store turned a third of the machines away, some 550 items changed within 8 s, and each relay passed each of them on to some twenty others, as JSON with base64, packed anew for each: over links of 5 Mbit/s that takes seconds, so that questions timed out and were put to the next relay, again from the same revision.

Change: changes are packed once for each revision asked from, as text that compresses well (150 registrations for 48 instances fit half a second of 5 Mbit/s; before, they took 5 s, by their size); relays are the largest machines of a data centre, by cores and link; one answers 48 others at most, the next or the store answers the rest. The directory names larger machines more often where not all fit an answer.

Ruled out: an older fault of the merge (all late instances had the change with the first answer they got); the store (its watches answered at once).

The stand-in of a peer now sends what an instance sends.

--- a/packages/core/src/borageramp_core/_internal/routing/model.py
+++ b/packages/core/src/borageramp_core/_internal/routing/model.py
@@ -182,6 +182,8 @@
         ``host:port`` for callers, and for checks of its readiness.
     peer_address : str or None
         ``host:port`` for other instances; ``None`` if it takes none.
+    capacity : float
+        What its machine can carry, relative to that of others.
     """
 
     name: str
@@ -190,6 +192,7 @@
     caller_address: str
     check_address: str
     peer_address: str | None = None
+    capacity: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/borageramp_core/_internal/routing/relays.py
+++ b/packages/core/src/borageramp_core/_internal/routing/relays.py
@@ -1,12 +1,13 @@
 """Which instances follow the store, and whom the others ask.
 
 Each change of the store costs a call of every instance that follows it. So a
-few instances of each data centre follow it, those with the highest rendezvous
-hashes, and the others ask these for the changes.
+few instances of each data centre follow it, those on the largest machines and
+among equals those with the highest rendezvous hashes, and the others ask these
+for the changes.
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from borageramp_core._internal.ownership import rendezvous_order
 from borageramp_core._internal.routing.model import Instance
@@ -45,19 +46,20 @@
     def update(self, instances: Iterable[Instance]) -> None:
         """Apply a new list of instances."""
         known = {i.name: i for i in instances} | {self._own.name: self._own}
-        by_data_centre: defaultdict[str, list[str]] = defaultdict(list)
+        by_data_centre: defaultdict[str, dict[str, float]] = defaultdict(dict)
         for instance in known.values():
             if instance.peer_address is not None:
-                by_data_centre[instance.data_centre].append(instance.name)
-        relays = {
-            name for names in by_data_centre.values() for name in _relays_among(names)
-        }
+                weights = by_data_centre[instance.data_centre]
+                weights[instance.name] = instance.capacity
+        relays = {name for w in by_data_centre.values() for name in _relays_among(w)}
         self.is_relay = self._own.name in relays
         order = rendezvous_order(relays - {self._own.name}, self._own.name)
         order.sort(key=lambda n: known[n].data_centre != self._own.data_centre)
         self.others = tuple(known[name] for name in order)
 
 
-def _relays_among(names: list[str]) -> list[str]:
-    count = -(-len(names) // INSTANCES_A_RELAY)
-    return rendezvous_order(names, TASK)[:count]
+def _relays_among(weights: Mapping[str, float]) -> list[str]:
+    count = -(-len(weights) // INSTANCES_A_RELAY)
+    order = rendezvous_order(weights, TASK)
+    order.sort(key=lambda name: weights[name], reverse=True)
+    return order[:count]
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -51,6 +51,9 @@
 # Idle connections to upstreams are closed before most upstreams do so.
 UPSTREAM_IDLE_S = 8.0
 STOP_STEP_S = 0.05
+# Bandwidth that the traffic of one core's work takes: with less, the link and
+# not the core bounds what a machine carries.
+MBPS_A_CORE = 50.0
 METRICS_AFTER_S = 2.0
 # Callers that connect while an entry starts wait for its first reading of the
 # store no longer than this; then they are told to come back.
@@ -91,6 +94,7 @@
             caller_address=settings.caller_address,
             check_address=settings.check_address or settings.caller_address,
             peer_address=settings.peer_address,
+            capacity=min(settings.cores, settings.link_mbps / MBPS_A_CORE),
         )
         self._store = platform.open_store(settings)
         self._build_knowledge()
@@ -323,6 +327,7 @@
         directory = DirectoryResource(
             instances=self._instances,
             ready=self._ready,
+            knows=lambda: self._knowledge.world.config is not None,
             dialect=dialect,
             ttl_s=lambda: self._settings.directory_ttl_s,
             rng=self._rng,
--- a/packages/entry/src/borageramp_entry/_internal/routed/feed.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/feed.py
@@ -1,19 +1,29 @@
 """The last changes of the store, kept for other instances."""
 
 import asyncio
+import zlib
 from collections import deque
 from dataclasses import dataclass
 
-from pydantic import Base64Bytes
+from pydantic import ValidationError
 
 from borageramp_core import HistoryLostError
 from borageramp_entry._internal.store.base import Change, Item
 from borageramp_settings import StrictModel
 
-__all__ = ["ChangeLog", "pack_change", "unpack_change"]
+__all__ = ["BadFeedError", "ChangeLog", "pack_change", "unpack_change"]
 
 # Changed items that are kept; whoever asks for older ones reads the store.
 MAX_KEPT = 1000
+# Links may be slow and many ask at once: the fastest level already makes records
+# a tenth of their size.
+COMPRESSION = 1
+# Longest text that another instance is believed; records of thousands fit.
+MAX_TEXT_BYTES = 16_777_216
+
+
+class BadFeedError(Exception):
+    """What another instance told can't be read."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,15 +47,18 @@
         self._complete_from = 0
         self._steps: deque[_Step] = deque()
         self._changed = asyncio.Event()
+        self._packed: dict[int, bytes] = {}
 
     def reset(self, revision: int) -> None:
         """Begin anew after a revision."""
         self.revision = self._complete_from = revision
         self._steps.clear()
+        self._packed.clear()
         self.wake()
 
     def append(self, change: Change) -> None:
         """Take in the next changes."""
+        self._packed.clear()
         self.revision = max(self.revision, change.revision)
         for item in change.written:
             self._steps.append(_Step(revision=self.revision, key=item.key, item=item))
@@ -87,10 +100,26 @@
             revision=self.revision,
         )
 
+    def packed_since(self, revision: int) -> bytes:
+        """Return the same as :meth:`since`, as instances tell each other.
+
+        Most ask from the same revision, so that it is packed once.
+
+        Raises
+        ------
+        HistoryLostError
+            If some of it is no longer kept.
+        """
+        packed = self._packed.get(revision)
+        if packed is None:
+            packed = self._packed[revision] = pack_change(self.since(revision))
+        return packed
+
 
 class _Item(StrictModel):
     key: str
-    value: Base64Bytes
+    # Each character stands for a byte: nearly all are text, and compress well.
+    value: str
     revision: int
 
 
@@ -103,28 +132,39 @@
 def pack_change(change: Change) -> bytes:
     """Return the form in which instances tell each other of changes."""
     written = tuple(
-        _Item.model_construct(key=i.key, value=i.value, revision=i.revision)
+        _Item.model_construct(
+            key=i.key, value=i.value.decode("latin-1"), revision=i.revision
+        )
         for i in change.written
     )
     packed = _Change.model_construct(
         revision=change.revision, written=written, deleted=change.deleted
     )
-    return packed.model_dump_json().encode()
+    return zlib.compress(packed.model_dump_json().encode(), COMPRESSION)
 
 
-def unpack_change(text: bytes) -> Change:
+def unpack_change(packed: bytes) -> Change:
     """Read what another instance told.
 
     Raises
     ------
-    pydantic.ValidationError
+    BadFeedError
         If it can't be read.
     """
-    told = _Change.model_validate_json(text)
-    return Change(
-        written=tuple(
-            Item(key=i.key, value=i.value, revision=i.revision) for i in told.written
-        ),
-        deleted=told.deleted,
-        revision=told.revision,
-    )
+    try:
+        told = _Change.model_validate_json(_unzip(packed))
+        written = tuple(
+            Item(key=i.key, value=i.value.encode("latin-1"), revision=i.revision)
+            for i in told.written
+        )
+    except (ValidationError, UnicodeEncodeError, zlib.error) as error:
+        raise BadFeedError(f"unreadable changes: {error!r:.200}") from error
+    return Change(written=written, deleted=told.deleted, revision=told.revision)
+
+
+def _unzip(packed: bytes) -> bytes:
+    inflating = zlib.decompressobj()
+    text = inflating.decompress(packed, MAX_TEXT_BYTES)
+    if not inflating.eof:
+        raise BadFeedError("changes that are too long or cut short")
+    return text
--- a/packages/entry/src/borageramp_entry/_internal/routed/pages.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pages.py
@@ -7,8 +7,8 @@
 from twisted.web.server import Request
 
 from borageramp_core import HistoryLostError
+from borageramp_core.routing import Instance
 from borageramp_entry._internal.border.http import Leaf
-from borageramp_entry._internal.routed.feed import pack_change
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.ports import DirectoryDialect
 from borageramp_entry._internal.routed.source import (
@@ -49,6 +49,8 @@
         All instances.
     ready : callable
         Tells whether this instance takes callers.
+    knows : callable
+        Tells whether there is a configuration.
     dialect : DirectoryDialect
         Form of the answers.
     ttl_s : callable
@@ -62,6 +64,7 @@
         *,
         instances: InstanceList,
         ready: Callable[[], bool],
+        knows: Callable[[], bool],
         dialect: DirectoryDialect,
         ttl_s: Callable[[], float],
         rng: random.Random,
@@ -69,6 +72,7 @@
         super().__init__()
         self._instances = instances
         self._ready = ready
+        self._knows = knows
         self._dialect = dialect
         self._ttl_s = ttl_s
         self._rng = rng
@@ -78,16 +82,26 @@
         if request.path != self._dialect.addresses_path:
             _send(request, 404, b"{}", b"application/json")
             return
+        if not self._knows():
+            # Others that are listed may know no configuration yet either.
+            _send(request, 503, b"{}", b"application/json")
+            return
         usable = self._instances.usable(own_ready=self._ready())
-        addresses = [i.caller_address for i in usable]
-        if not addresses:
+        if not usable:
             _send(request, 503, b"{}", b"application/json")
             return
-        if len(addresses) > MAX_ADDRESSES:
-            addresses = self._rng.sample(addresses, MAX_ADDRESSES)
+        addresses = [i.caller_address for i in self._sample(usable)]
         body = self._dialect.answer(addresses, ttl_s=self._ttl_s())
         _send(request, 200, body, b"application/json")
 
+    def _sample(self, usable: list[Instance]) -> list[Instance]:
+        """Return no more than fit an answer, larger machines more often."""
+        if len(usable) <= MAX_ADDRESSES:
+            return usable
+        draws = {i.name: self._rng.random() ** (1.0 / i.capacity) for i in usable}
+        usable.sort(key=lambda i: draws[i.name], reverse=True)
+        return usable[:MAX_ADDRESSES]
+
 
 class ReadinessResource(Leaf):
     """Tells whether this instance takes callers.
@@ -147,7 +161,7 @@
     async def serve(self, request: Request) -> None:
         """Serve a request."""
         status, body = await self._answer(request)
-        _send(request, status, body, b"application/json")
+        _send(request, status, body, b"application/octet-stream")
 
     async def _answer(self, request: Request) -> tuple[int, bytes]:
         if request.path != CHANGES_PATH.encode():
@@ -159,9 +173,9 @@
         except (KeyError, ValueError):
             return 400, b"{}"
         try:
-            change = await self._source.tell(after=after, wait_s=wait_s)
+            changes = await self._source.tell(after=after, wait_s=wait_s)
         except NoRelayError:
             return 503, b"{}"
         except HistoryLostError:
             return 410, b"{}"
-        return 200, pack_change(change)
+        return 200, changes
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -1,6 +1,8 @@
 """Records of this system in the store, by which instances tell each other."""
 
-from pydantic import ValidationError
+from typing import Annotated
+
+from pydantic import Field, ValidationError
 
 from borageramp_core.routing import CrashSuspect, Fact, Instance, Unreadable
 from borageramp_entry._internal.store.base import Item
@@ -25,6 +27,7 @@
     caller_address: str
     check_address: str
     peer_address: str | None = None
+    capacity: Annotated[float, Field(gt=0)] = 1.0
 
 
 class _Suspect(StrictModel):
@@ -46,6 +49,7 @@
         caller_address=instance.caller_address,
         check_address=instance.check_address,
         peer_address=instance.peer_address,
+        capacity=instance.capacity,
     )
     return record.model_dump_json().encode()
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/source.py
@@ -4,13 +4,15 @@
 import contextlib
 from collections.abc import AsyncGenerator, Callable
 
-from pydantic import ValidationError
-
 from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
 from borageramp_core.routing import Instance, RelayPlan
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.routed.feed import ChangeLog, unpack_change
+from borageramp_entry._internal.routed.feed import (
+    BadFeedError,
+    ChangeLog,
+    unpack_change,
+)
 from borageramp_entry._internal.serving.http_client import (
     HttpClient,
     NotConnectedError,
@@ -32,6 +34,8 @@
 CONTACT_S = 0.9
 # An instance that could not tell, and a store that failed, are passed over.
 AVOID_S = 1.5
+# Instances that one passes changes on to; the others ask the next, or the store.
+MAX_ASKING = 48
 IDLE_S = 5.0
 STATUS_OK = 200
 
@@ -74,6 +78,7 @@
         self._http = HttpClient(idle_s=IDLE_S, max_idle=1)
         self._kept = ChangeLog()
         self._direct = False
+        self._asking = 0
         self._contact_at_s = float("-inf")
         self._avoid_store_until_s = float("-inf")
         self._avoid_until_s: dict[str, float] = {}
@@ -181,24 +186,31 @@
             raise NoRelayError(f"status {response.status}")
         try:
             return unpack_change(body)
-        except ValidationError as error:
-            raise NoRelayError(str(error.errors()[0]["msg"])) from error
+        except BadFeedError as error:
+            raise NoRelayError(str(error)) from error
 
-    async def tell(self, *, after: int, wait_s: float) -> Change:
+    async def tell(self, *, after: int, wait_s: float) -> bytes:
         """Tell another instance what changed after a revision.
 
         Raises
         ------
         NoRelayError
-            If this instance doesn't follow the store, or lost contact to it.
+            If this instance doesn't follow the store, lost contact to it, or has
+            enough others that ask.
         HistoryLostError
             If it no longer has all of the changes.
         """
         self._check_contact()
+        if self._asking >= MAX_ASKING:
+            raise NoRelayError("enough others ask")
         if after >= self._kept.revision:
-            await self._kept.wait(wait_s)
+            self._asking += 1
+            try:
+                await self._kept.wait(wait_s)
+            finally:
+                self._asking -= 1
             self._check_contact()
-        return self._kept.since(after)
+        return self._kept.packed_since(after)
 
     def _check_contact(self) -> None:
         if not self._direct:
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -80,6 +80,14 @@
         description="Time for which changes of the store are gathered; each "
         "fetch is a call that the store counts.",
     )
+    cores: Positive = Field(
+        default=1.0,
+        description="Processor cores for this process; more callers, and more work "
+        "for other instances, go where there are more.",
+    )
+    link_mbps: Positive = Field(
+        default=1000.0, description="Bandwidth of this machine in Mbit/s."
+    )
     bounds: FleetBounds = Field(
         default=FleetBounds(), description="Bounds over all entries."
     )
--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -6,24 +6,22 @@
 from urllib.parse import parse_qs, urlsplit
 
 from borageramp_core import HistoryLostError
-from borageramp_entry._internal.routed.feed import pack_change
 from borageramp_entry._internal.routed.source import NoRelayError
-from borageramp_entry._internal.store.base import Change
 
 __all__ = ["Tell", "running_peer"]
 
-Tell = Callable[[int, float], Awaitable[Change]]
+Tell = Callable[[int, float], Awaitable[bytes]]
 
 
 async def _answer(tell: Tell, target: str) -> tuple[int, bytes]:
     query = parse_qs(urlsplit(target).query)
     try:
-        change = await tell(int(query["after"][0]), float(query["wait_s"][0]))
+        changes = await tell(int(query["after"][0]), float(query["wait_s"][0]))
     except NoRelayError:
         return 503, b"{}"
     except HistoryLostError:
         return 410, b"{}"
-    return 200, pack_change(change)
+    return 200, changes
 
 
 @asynccontextmanager
--- a/tests/routed/test_relays.py
+++ b/tests/routed/test_relays.py
@@ -1,16 +1,20 @@
 """Which instances follow the store, and what they tell the others."""
 
+import zlib
+
 import pytest
 
 from borageramp_core import HistoryLostError
 from borageramp_core.routing import Instance, RelayPlan
 from borageramp_entry._internal.routed.feed import (
+    MAX_TEXT_BYTES,
+    BadFeedError,
     ChangeLog,
     pack_change,
     unpack_change,
 )
 from borageramp_entry._internal.store.base import Change, Item
-from tests.lib.routed import AWAY, HERE, make_instance
+from tests.lib.routed import AWAY, HERE, as_bytes, make_instance, upstream_document
 
 
 def make_fleet(here: int, away: int) -> list[Instance]:
@@ -95,3 +99,60 @@
         revision=9,
     )
     assert unpack_change(pack_change(change)) == change
+
+
+def test_changes_of_many_records_are_small() -> None:
+    """A slow link passes on what half of a large fleet registers at once."""
+    items = tuple(
+        Item(
+            key=f"servers/u{i}",
+            value=as_bytes(upstream_document(address=f"10.1.0.{i}:80")),
+            revision=i,
+        )
+        for i in range(150)
+    )
+    change = Change(written=items, deleted=(), revision=150)
+    packed = pack_change(change)
+    assert unpack_change(packed) == change
+    # 48 instances ask at once over 5 Mbit/s, and have half a second.
+    assert len(packed) * 48 < 5e6 / 8 * 0.5
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [
+        b"",
+        b"nonsense",
+        zlib.compress(b"{}"),
+        zlib.compress(b" " * (MAX_TEXT_BYTES + 1)),
+        pack_change(make_change(3, "a"))[:-5],
+        zlib.compress(b'{"revision":1,"deleted":[],"written":'),
+    ],
+)
+def test_changes_that_make_no_sense_are_an_error(packed: bytes) -> None:
+    with pytest.raises(BadFeedError):
+        unpack_change(packed)
+
+
+def test_bytes_that_are_no_text_are_passed_on() -> None:
+    item = Item(key="k", value=bytes(range(256)), revision=1)
+    change = Change(written=(item,), deleted=(), revision=1)
+    assert unpack_change(pack_change(change)) == change
+
+
+def test_what_many_ask_for_is_packed_once_until_it_changes() -> None:
+    log = ChangeLog()
+    log.reset(1)
+    log.append(make_change(2, "a"))
+    first = log.packed_since(1)
+    assert log.packed_since(1) is first
+    log.append(make_change(3, "b"))
+    assert {i.key for i in unpack_change(log.packed_since(1)).written} == {"a", "b"}
+
+
+def test_larger_machines_follow_the_store() -> None:
+    small = [make_instance(f"s{i}", capacity=0.1) for i in range(60)]
+    large = [make_instance(f"l{i}", capacity=2.0) for i in range(3)]
+    fleet = [*small, *large]
+    relays = {i.name for i in fleet if make_plan(i, fleet).is_relay}
+    assert len(relays) == 4 and {i.name for i in large} <= relays
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -8,8 +8,11 @@
 
 from borageramp_core import StoreUnavailableError
 from borageramp_core.routing import RelayPlan
-from borageramp_entry._internal.routed.source import ChangeSource, NoRelayError
-from borageramp_entry._internal.store.base import Change
+from borageramp_entry._internal.routed.source import (
+    MAX_ASKING,
+    ChangeSource,
+    NoRelayError,
+)
 from borageramp_platform.store import KeyValueStore
 from tests.lib.peers import Tell, running_peer
 from tests.lib.platform_store import FakeStore, running_store
@@ -88,7 +91,7 @@
 
 
 def told_by(follower: Follower) -> Tell:
-    async def tell(after: int, wait_s: float) -> Change:
+    async def tell(after: int, wait_s: float) -> bytes:
         return await follower.source.tell(after=after, wait_s=wait_s)
 
     return tell
@@ -130,7 +133,7 @@
 
 
 def test_without_an_answer_the_store_itself_is_followed() -> None:
-    async def never(after: int, wait_s: float) -> Change:
+    async def never(after: int, wait_s: float) -> bytes:
         await asyncio.sleep(60)
         raise AssertionError("asked for too long")
 
@@ -165,11 +168,29 @@
     async def test(store: FakeStore) -> None:
         async with running(store, is_relay=True) as relay:
             await asyncio.sleep(0.1)
-            assert (
-                await relay.source.tell(after=store.revision, wait_s=0.01)
-            ) is not None
+            assert await relay.source.tell(after=store.revision, wait_s=0.01)
             relay.clock_s += 1.0
             with pytest.raises(NoRelayError):
                 await relay.source.tell(after=store.revision, wait_s=0.01)
 
     run(test)
+
+
+def test_an_instance_passes_changes_on_to_a_bounded_number() -> None:
+    """When many lose theirs at once, they spread over the others, or the store."""
+
+    async def test(store: FakeStore) -> None:
+        async with running(store, is_relay=True) as relay:
+            await asyncio.sleep(0.1)
+
+            async def ask() -> bytes:
+                return await relay.source.tell(after=store.revision, wait_s=0.2)
+
+            asking = [asyncio.ensure_future(ask()) for _ in range(MAX_ASKING)]
+            await asyncio.sleep(0.02)
+            with pytest.raises(NoRelayError):
+                await ask()
+            assert all(await asyncio.gather(*asking))
+            assert await ask()
+
+    run(test)
