Refuse what waits at an entry that loses its serving lease

Cause: the lease was checked when a request arrived and after it was placed, not while it waited in between. A read that waits at an entry which is cut off from all waited on until its own deadline (5 s by default), so that "refuses reads with not_serving within 4 seconds" failed whenever a read had come just before the lease ended.

Ruled out: a link that lets a cut process through because the system's table of connections lacked it (400 x 8 other connections beside 200 tries: none got through, with and without a second look-up; reverted).

--- a/packages/entry/src/borageramp_entry/_internal/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/app.py
@@ -297,16 +297,16 @@
         self._peers.hurry()
 
     def _new_placement(self, name: str, held: Held) -> PlacementTask:
-        balancer = Balancer(
-            service=held.snapshot.services[name],
-            snapshot=held.snapshot,
-            ownership=self._fleet.ownership,
-            warmup=self._fleet.warmup,
-            suspects=self._fleet.suspects,
-            rng=random.Random(self._rng.random()),
-        )
         return PlacementTask(
-            balancer=balancer,
+            balancer=Balancer(
+                service=held.snapshot.services[name],
+                snapshot=held.snapshot,
+                ownership=self._fleet.ownership,
+                warmup=self._fleet.warmup,
+                suspects=self._fleet.suspects,
+                rng=random.Random(self._rng.random()),
+            ),
+            may_serve=lambda: self._services.may_serve(),
             on_news=self._peers.hurry,
             reporter=self._reporter,
             clock=self._clock,
--- a/packages/entry/src/borageramp_entry/_internal/serving/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/placement.py
@@ -13,6 +13,7 @@
     Placement,
     Queued,
     RatioBudget,
+    Reason,
     Refused,
     Result,
     Service,
@@ -26,6 +27,8 @@
 
 # Waiting requests are looked at again this often, besides after each answer.
 TICK_S = 0.005
+# When callers whose requests waited while this entry lost its lease may return.
+NOT_SERVING_RETRY_S = 0.5
 # Repairs after which peers get a heartbeat at once.
 PEERS_HEAR_OF = ("warm-up", "warm again")
 
@@ -39,6 +42,8 @@
     ----------
     balancer : Balancer
         Decisions on the service.
+    may_serve : callable
+        Tells whether this entry may take work.
     on_news : callable
         Called when peers should hear at once what this entry knows.
     reporter : Reporter
@@ -51,6 +56,7 @@
         self,
         *,
         balancer: Balancer,
+        may_serve: Callable[[], bool],
         on_news: Callable[[], None],
         reporter: Reporter,
         clock: Callable[[], float],
@@ -61,6 +67,7 @@
         self.hedges = RatioBudget(ratio=policy.hedge_ratio)
         self.urgent_hedges = RatioBudget(ratio=policy.urgent_hedge_ratio)
         self.latencies = LatencyWindow()
+        self._may_serve = may_serve
         self._on_news = on_news
         self._reporter = reporter
         self._clock = clock
@@ -191,8 +198,23 @@
 
     def _tick(self) -> None:
         self._ticking = None
+        if not self._may_serve():
+            # What waits could otherwise wait on until its deadline.
+            self._refuse_waiting()
+            return
         self._settle(self.balancer.drain(now_s=self._clock()))
 
+    def _refuse_waiting(self) -> None:
+        for waiter in list(self.balancer.queue):
+            refused = Refused(
+                request=waiter,
+                reason=Reason.NOT_SERVING,
+                detail="this entry may no longer take work",
+                retry_after_s=NOT_SERVING_RETRY_S,
+            )
+            self.balancer.cancel(waiter.request_id)
+            self._settle([refused])
+
     def _report(self, decision: Placement) -> None:
         request_id, _, _ = decision.request.request_id.partition("#")
         common = {
