Log what upstreams ask for; check contact when an instance begins to follow the store

Cause: an instance that begins to follow the store answers others only while a call of its own is under 0.9 s old. Its next renewal could be 2 s away since leases are renewed twice, and a step that was hurried while another one ran was forgotten.

Change: it renews at once, and a hurried step is kept. What upstreams ask for is logged once, by one function for tries and probes.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -359,11 +359,13 @@
         """Take in what an upstream says of itself."""
         view.on_report(report, now_s=now_s)
 
-    def on_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> None:
-        """Take in what an upstream asks for."""
+    def on_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> bool:
+        """Take in what an upstream asks for; tell whether that is new."""
+        before = (view.leaving, view.is_paused(now_s=now_s))
         view.on_notice(notice, now_s=now_s)
         if notice.leaving:
             self._left_at_s[_start_of(view.registration)] = now_s
+        return before != (view.leaving, view.is_paused(now_s=now_s))
 
 
 def _start_of(registration: Registration) -> _Start:
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -109,6 +109,7 @@
             plan=self._relays,
             gather_s=settings.gather_s,
             clock=self._clock,
+            on_followed=lambda: self._listing.hurry(),
         )
         self._knowledge = KnowledgeTask(
             store=self._store,
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -300,7 +300,7 @@
     def _start(self, chosen: Chosen) -> None:
         started = RoutedTry(
             chosen=chosen,
-            pool=self._pool,
+            pools=self._parts.pools,
             work=self._work,
             client=self._parts.client,
             clock=self._parts.clock,
--- a/packages/entry/src/borageramp_entry/_internal/routed/listing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/listing.py
@@ -1,6 +1,7 @@
 """The place of this instance on the list of instances."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Collection
 
@@ -113,12 +114,11 @@
         return pause_s
 
     async def _pause(self, pause_s: float) -> None:
-        self._hurry.clear()
-        try:
+        """Wait for the next step, or until it is hurried, also during the last."""
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_s):
                 await self._hurry.wait()
-        except TimeoutError:
-            return
+        self._hurry.clear()
 
     async def _step(self) -> bool:
         """Take the next step; tell whether the store was asked for anything."""
@@ -159,6 +159,10 @@
             self._hurry.set()
         self._seen = seen
 
+    def hurry(self) -> None:
+        """Take the next step at once."""
+        self._hurry.set()
+
     async def withdraw(self) -> None:
         """Leave the list."""
         if not self._lease_id:
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from borageramp_core import RatioBudget
+from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
     ColdAllowance,
     Registration,
@@ -14,10 +14,13 @@
     WorkEstimate,
     World,
 )
+from borageramp_entry._internal.logs import get_logger
 from borageramp_settings import FleetBounds
 
 __all__ = ["Pools"]
 
+_log = get_logger(__name__)
+
 # Shares of the bounds on repeated tries that are used. The rest covers member
 # lists that differ, and requests that are counted in another window.
 RETRY_RATIO_SHARE = 0.8
@@ -119,6 +122,18 @@
         budget.burst = max(1.0, share)
         return budget
 
+    def take_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> None:
+        """Take in what an upstream asks for with an answer."""
+        pool = self.pool(view.registration.service)
+        if pool.on_notice(view, notice, now_s=now_s):
+            _log.info(
+                "upstream asks for nothing",
+                upstream=view.registration.id,
+                service=view.registration.service,
+                leaving=view.leaving,
+                pause_s=notice.pause_s,
+            )
+
     def work(self, route: Route) -> WorkEstimate:
         """Return the estimate of a route's work."""
         estimate = self._work.get(route.name)
--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -98,8 +98,7 @@
             return view
         finally:
             self._under_way.pop(view.registration.id, None)
-        pool = self._pools.pool(view.registration.service)
-        pool.on_notice(view, answer.notice, now_s=self._clock())
+        self._pools.take_notice(view, answer.notice, now_s=self._clock())
         view.ill = not answer.healthy
         if answer.report is not None:
             view.on_report(answer.report, now_s=self._clock())
--- a/packages/entry/src/borageramp_entry/_internal/routed/source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/source.py
@@ -59,6 +59,9 @@
         Time for which changes are gathered, to be fetched in one call.
     clock : callable
         Returns the present time in seconds.
+    on_followed : callable, optional
+        Called when this instance begins to follow the store, so that its contact
+        with the store is checked before others ask.
     """
 
     def __init__(
@@ -69,12 +72,14 @@
         plan: RelayPlan,
         gather_s: float,
         clock: Callable[[], float],
+        on_followed: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._plan = plan
         self._gather_s = gather_s
         self._clock = clock
+        self._on_followed = on_followed
         self._http = HttpClient(idle_s=IDLE_S, max_idle=1)
         self._kept = ChangeLog()
         self._direct = False
@@ -133,6 +138,7 @@
     async def _from_store(self, after: int) -> AsyncGenerator[Change, None]:
         self._kept.reset(after)
         self._direct = True
+        self._on_followed()
         try:
             async for change in self._store.watch(
                 self._prefix, from_revision=after + 1
--- a/packages/entry/src/borageramp_entry/_internal/routed/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/tries.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from borageramp_core import LoadReport, Notice, Result
-from borageramp_core.routing import Chosen, ServicePool, WorkEstimate
+from borageramp_core.routing import Chosen, WorkEstimate
+from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import (
     TryFailedError,
@@ -53,8 +54,8 @@
     ----------
     chosen : Chosen
         The upstream.
-    pool : ServicePool
-        The upstreams of the service.
+    pools : Pools
+        All upstreams.
     work : WorkEstimate
         Work of the route.
     client : UpstreamClient
@@ -67,7 +68,7 @@
         self,
         *,
         chosen: Chosen,
-        pool: ServicePool,
+        pools: Pools,
         work: WorkEstimate,
         client: UpstreamClient,
         clock: Callable[[], float],
@@ -75,7 +76,8 @@
         self.view = chosen.view
         self.started_at_s = clock()
         self._pace_then = chosen.view.pace
-        self._pool = pool
+        self._pools = pools
+        self._pool = pools.pool(chosen.view.registration.service)
         self._work = work
         self._client = client
         self._clock = clock
@@ -122,7 +124,7 @@
         now_s = self._clock()
         if report is not None:
             self.view.on_report(report, now_s=now_s)
-        self._pool.on_notice(self.view, notice, now_s=now_s)
+        self._pools.take_notice(self.view, notice, now_s=now_s)
 
     async def _read(
         self, answer: UpstreamAnswer, request: CallerRequest
--- a/tests/routed/test_listing.py
+++ b/tests/routed/test_listing.py
@@ -118,6 +118,33 @@
     assert lost > seen
 
 
+def test_whoever_begins_to_follow_the_store_renews_at_once() -> None:
+    """Others ask it then, and it answers only while in contact."""
+
+    async def run() -> int:
+        store: Any = Store()
+        following: list[bool] = []
+        listing = ListingTask(
+            store=store,
+            instance=make_instance("own"),
+            lease_s=9.0,
+            ready=lambda: True,
+            is_relay=lambda: bool(following),
+            on_checked=lambda answered: None,
+            rng=random.Random(1),
+        )
+        task = asyncio.ensure_future(listing.run())
+        await asyncio.sleep(0.02)
+        before = store.calls
+        following.append(True)
+        listing.hurry()
+        await asyncio.sleep(1.1)
+        task.cancel()
+        return int(store.calls - before)
+
+    assert asyncio.run(run()) == 3
+
+
 def make_list(others: int, *, age_s: float = 0.0) -> tuple[InstanceList, list[Any]]:
     """Return the list of an instance, and the names of those it asks."""
     asked: list[Any] = []
