Run the tests of the list of instances in simulated time

Cause: they counted calls within real pauses of half a second, which a busy machine can stretch; none has failed yet.

--- a/tests/routed/test_listing.py
+++ b/tests/routed/test_listing.py
@@ -12,6 +12,7 @@
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.listing import ListingTask, lease_for
 from tests.lib.routed import make_instance
+from tests.lib.simulated_time import run_simulated
 
 
 class Store:
@@ -61,7 +62,7 @@
         task.cancel()
         return int(any_store.calls - before)
 
-    return asyncio.run(run())
+    return run_simulated(run())
 
 
 @pytest.mark.parametrize("contact_s", [3.0, 4.0])
@@ -113,7 +114,7 @@
         task.cancel()
         return counts
 
-    registered, again, seen, lost = asyncio.run(run())
+    registered, again, seen, lost = run_simulated(run())
     assert registered == again == seen
     assert lost > seen
 
@@ -142,7 +143,7 @@
         task.cancel()
         return int(store.calls - before)
 
-    assert asyncio.run(run()) == 3
+    assert run_simulated(run()) == 3
 
 
 def make_list(others: int, *, age_s: float = 0.0) -> tuple[InstanceList, list[Any]]:
@@ -176,7 +177,7 @@
         await asyncio.sleep(0.05)
         task.cancel()
 
-    asyncio.run(run())
+    run_simulated(run())
 
 
 def names(listing: InstanceList) -> set[str]:
