Fill upstreams no further than they answer fastest

Ruled out: waiting at the upstream (36 to 42 ms in line at the entry), slow pace (a tenth of the requests).

Change: each service's answers are compared by the number of requests that their upstream had; the number that gives the highest rate of answers is the limit. Cold upstreams are expected to be as slow as they were seen to be. "request ended" tells the caller's deadline and the route's objective.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -15,7 +15,9 @@
 from borageramp_core._internal.routing.cold import ColdAllowance
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.shortlist import Shortlist
-from borageramp_core._internal.routing.state import UpstreamView, upstream_of
+from borageramp_core._internal.routing.slowdown import SlowdownProfile
+from borageramp_core._internal.routing.state import Busy, UpstreamView, upstream_of
+from borageramp_core._internal.routing.work import WorkEstimate
 
 __all__ = ["ServicePool"]
 
@@ -81,6 +83,7 @@
         self.name = name
         self.views: dict[str, UpstreamView] = {}
         self.shortlist = Shortlist(member=member, data_centre=data_centre)
+        self.slowdown = SlowdownProfile()
         self.outliers = Outliers(max_share=EJECT_MAX_SHARE)
         self._data_centre = data_centre
         self._cold = cold
@@ -289,8 +292,12 @@
 
     def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
         left = view.load.left(work_s=wanted.work_s, now_s=now_s)
+        slots = view.load.slots
+        room = float(self.slowdown.usable_slots(slots))
+        if room == slots:
+            room *= 1.0 + wanted.queue_slots
         # A request that may have ended in part has not left its slot.
-        return -(-left // 1.0) < view.load.slots * (1.0 + wanted.queue_slots)
+        return -(-left // 1.0) < room
 
     def _expectations(
         self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
@@ -303,8 +310,13 @@
         def expected_s(view: UpstreamView) -> float:
             pace = view.expected_pace(usual=usual_pace, now_s=now_s)
             requests = view.load.estimate(usual_others=usual_others, now_s=now_s)
+            slowdown = self.slowdown.factor(
+                requests + 1.0,
+                slots=view.load.slots,
+                cold=view.is_cold(now_s=now_s),
+            )
             filled = (requests + 1.0) / view.load.slots
-            return wanted.work_s * pace * max(1.0, filled)
+            return wanted.work_s * pace * slowdown * max(1.0, filled)
 
         return expected_s
 
@@ -353,6 +365,32 @@
             view.upstream, service_size=len(self.views), now_s=now_s
         )
 
+    def learn(
+        self, work: WorkEstimate, latency_s: float, *, pace: float, busy: Busy
+    ) -> None:
+        """Take in how long an answer took.
+
+        Parameters
+        ----------
+        work : WorkEstimate
+            What is known of the request's route.
+        latency_s : float
+            Time of the answer.
+        pace : float
+            Pace that the upstream reported when it got the request.
+        busy : Busy
+            How busy it was then.
+        """
+        slowdown = self.slowdown.factor(busy.requests, slots=busy.slots, cold=busy.cold)
+        if pace <= GOOD_PACE and busy.report_age_s <= FRESH_S:
+            self.slowdown.on_answer(
+                latency_s / (max(0.5, pace) * work.mean_s),
+                requests=busy.requests,
+                slots=busy.slots,
+                cold=busy.cold,
+            )
+        work.on_answer(latency_s, pace=pace * slowdown)
+
     def on_report(
         self, view: UpstreamView, report: LoadReport, *, now_s: float
     ) -> None:
--- a/packages/core/src/borageramp_core/_internal/routing/state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/state.py
@@ -7,7 +7,7 @@
 from borageramp_core._internal.model import Upstream
 from borageramp_core._internal.routing.model import Registration
 
-__all__ = ["UpstreamView", "upstream_of"]
+__all__ = ["Busy", "UpstreamView", "upstream_of"]
 
 # The pace of an upstream shifts many times a second; an old one says little.
 PACE_HALF_LIFE_S = 0.25
@@ -33,6 +33,28 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Busy:
+    """How busy an upstream was when it got a request.
+
+    Attributes
+    ----------
+    requests : int
+        Requests that it had, the new one among them.
+    slots : int
+        Requests that it runs at once.
+    cold : bool
+        Whether it was cold.
+    report_age_s : float
+        Age of its last report.
+    """
+
+    requests: int
+    slots: int
+    cold: bool
+    report_age_s: float
+
+
 @dataclass(kw_only=True, slots=True)
 class UpstreamView:
     """Load, pace, warm-up and health of one upstream.
@@ -92,6 +114,15 @@
         trust = 0.5 ** min(64.0, age_s / PACE_HALF_LIFE_S)
         return trust * self.pace + (1.0 - trust) * usual
 
+    def busy(self, *, now_s: float) -> "Busy":
+        """Return how busy it is, by its last report."""
+        return Busy(
+            requests=round(self.load.in_flight + self.load.others),
+            slots=self.load.slots,
+            cold=self.is_cold(now_s=now_s),
+            report_age_s=self.report_age_s(now_s=now_s),
+        )
+
     def on_report(self, report: LoadReport, *, now_s: float) -> None:
         """Take in what the upstream says of itself."""
         if report.start_id and report.start_id != self.registration.id:
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -176,6 +176,10 @@
     )
 
 
+def _ms(duration_s: float | None) -> float | None:
+    return None if duration_s is None else round(duration_s * 1000, 1)
+
+
 class _Exchange:
     """One request of a caller, and its answer."""
 
@@ -185,6 +189,7 @@
         self._arrived_at_s = front.clock()
         self._routed: RoutedRequest | None = None
         self._id = ""
+        self._deadline_s: float | None = None
         self._started = False
         self._ready = asyncio.Event()
         self._ready.set()
@@ -211,11 +216,14 @@
             took_ms=round(took_s * 1000, 1),
             route=routed.route.name if routed else None,
             service=routed.caller.service if routed else None,
+            deadline_ms=_ms(self._deadline_s),
+            objective_ms=_ms(routed.route.objective_s) if routed else None,
         )
 
     async def _run(self) -> str:
         terms = self._front.dialect.read_terms(_headers(self._request))
         self._id = terms.request_id
+        self._deadline_s = terms.deadline_s
         try:
             self._routed = self._front.routed(
                 self._request, arrived_at_s=self._arrived_at_s
--- a/packages/entry/src/borageramp_entry/_internal/routed/tries.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/tries.py
@@ -76,6 +76,7 @@
         self.view = chosen.view
         self.started_at_s = clock()
         self._pace_then = chosen.view.pace
+        self._busy_then = chosen.view.busy(now_s=self.started_at_s)
         self._pools = pools
         self._pool = pools.pool(chosen.view.registration.service)
         self._work = work
@@ -147,7 +148,9 @@
         if read.failed:
             self.end(Result.ERROR)
             return
-        self._work.on_answer(self.elapsed_s, pace=self._pace_then)
+        self._pool.learn(
+            self._work, self.elapsed_s, pace=self._pace_then, busy=self._busy_then
+        )
         self.end(Result.ANSWERED)
 
     @property
