Put requests whose callers came back behind those that can be in time

Change: the time that a caller has left tells that it has come back, if it is less than what callers of the route have in calm times. Its objective counts from the first try; in line, whatever can be in time goes first, of any rank.

--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -4,13 +4,13 @@
 once all of them are long, every answer is late. So requests wait here, those
 of higher rank first, and for no longer than is of use.
 
-Among equals, those that can still be in time go before those that can't.
+Those that can still be in time go before those that can't, of whatever rank.
 Strictly in turn, a standing line would make every answer late, though most
-of the requests could have been served in time.
+of the requests could have been served in time. A request whose caller has come
+back counts from its first try, and is late from the start as a rule.
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -51,6 +51,8 @@
         Time from which its answer would probably be late.
     urgent : bool
         Whether it goes before others, and waits longer.
+    returned : bool
+        Whether its caller has come back with it; another refusal may be its end.
     """
 
     arrived_at_s: float
@@ -59,15 +61,35 @@
     work_s: float
     late_from_s: float
     urgent: bool
+    returned: bool = False
 
     @classmethod
     def of(
-        cls, route: Route, *, work: WorkEstimate, arrived_at_s: float, deadline_s: float
+        cls,
+        route: Route,
+        *,
+        work: WorkEstimate,
+        arrived_at_s: float,
+        deadline_s: float,
+        age_s: float = 0.0,
     ) -> "Patience":
-        """Return the patience of a request."""
+        """Return the patience of a request.
+
+        Parameters
+        ----------
+        route : Route
+            Its route.
+        work : WorkEstimate
+            What is known of the work of that route.
+        arrived_at_s, deadline_s : float
+            Times of its arrival, and until which its answer is of use.
+        age_s : float
+            Time for which its caller had waited before.
+        """
         likely_s = min(work.late_s, LATE_MAX_SHARE * route.objective_s)
-        objective_at_s = arrived_at_s + route.objective_s
+        objective_at_s = arrived_at_s - age_s + route.objective_s
         return cls(
+            returned=age_s > 0.0,
             arrived_at_s=arrived_at_s,
             objective_at_s=objective_at_s,
             deadline_s=deadline_s,
@@ -80,7 +102,7 @@
     def until_s(self) -> float:
         """Time until which it waits for room."""
         in_time_s = self.objective_at_s - self.work_s
-        if not self.urgent:
+        if not self.urgent and not self.returned:
             return max(self.arrived_at_s, in_time_s)
         patient_s = PATIENT_SHARE * (self.deadline_s - self.arrived_at_s)
         return max(in_time_s, self.arrived_at_s + patient_s)
@@ -111,7 +133,7 @@
 
 
 class WaitingLine(Generic[T]):
-    """Waiting requests: the highest rank first, in each those not yet late."""
+    """Waiting requests: those not yet late first, among them the highest rank."""
 
     def __init__(self) -> None:
         self._lanes: defaultdict[int, list[tuple[float, T]]] = defaultdict(list)
@@ -123,13 +145,19 @@
         """Add a request."""
         self._lanes[rank].append((late_from_s, waiter))
 
+    def has_before(self, *, rank: int, now_s: float) -> bool:
+        """Tell whether a request waits that goes before a new one of a rank."""
+        return any(
+            now_s <= late_from_s
+            for lane_rank, lane in self._lanes.items()
+            if lane_rank <= rank
+            for late_from_s, _ in lane
+        )
+
     def take_all(self, *, now_s: float) -> list[T]:
         """Take out all requests in the order in which they go."""
-        lanes = [self._lanes[rank] for rank in sorted(self._lanes)]
+        waiting = [entry for rank in sorted(self._lanes) for entry in self._lanes[rank]]
         self._lanes.clear()
-        return [waiter for lane in lanes for waiter in _in_turn(lane, now_s=now_s)]
-
-
-def _in_turn(lane: list[tuple[float, T]], *, now_s: float) -> Iterable[T]:
-    yield from (waiter for late_from_s, waiter in lane if now_s <= late_from_s)
-    yield from (waiter for late_from_s, waiter in lane if now_s > late_from_s)
+        in_time = [waiter for late_from_s, waiter in waiting if now_s <= late_from_s]
+        late = [waiter for late_from_s, waiter in waiting if now_s > late_from_s]
+        return in_time + late
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -2,6 +2,7 @@
 
 from borageramp_core._internal.routing.choice import Chosen, Wanted
 from borageramp_core._internal.routing.cold import ColdAllowance, ColdBounds
+from borageramp_core._internal.routing.deadlines import DeadlineProfile
 from borageramp_core._internal.routing.faults import config_faults
 from borageramp_core._internal.routing.model import (
     CallerLimits,
@@ -19,6 +20,7 @@
 from borageramp_core._internal.routing.pool import ServicePool
 from borageramp_core._internal.routing.relays import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
+from borageramp_core._internal.routing.slowdown import SlowdownProfile
 from borageramp_core._internal.routing.state import UpstreamView
 from borageramp_core._internal.routing.table import RouteTable, choose_service
 from borageramp_core._internal.routing.waiting import Patience, WaitingLine
@@ -32,6 +34,7 @@
     "ColdBounds",
     "CrashSuspect",
     "DataCentreOut",
+    "DeadlineProfile",
     "Fact",
     "Instance",
     "Patience",
@@ -43,6 +46,7 @@
     "RoutingConfig",
     "ServicePool",
     "ServiceShare",
+    "SlowdownProfile",
     "Unreadable",
     "UpstreamView",
     "WaitingLine",
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -57,11 +57,14 @@
         The route.
     arrived_at_s : float
         Time of its arrival.
+    patience_s : float or None
+        Time for which the caller waits from then on; ``None`` if it didn't say.
     """
 
     caller: CallerRequest
     route: Route
     arrived_at_s: float
+    patience_s: float | None = None
 
 
 class RoutedDispatcher:
@@ -174,8 +177,19 @@
         self._last = Result.UNREACHABLE
         self._failure: RoutedAnswer | None = None
         self.broken: list[UpstreamView] = []
+        self._age_s = self._find_age_s()
         self._repeats.earn()
 
+    def _find_age_s(self) -> float:
+        """Return the time for which the caller has probably waited before."""
+        patience_s = self._request.patience_s
+        if patience_s is None:
+            return 0.0
+        deadlines = self._parts.pools.deadlines(self._route)
+        if not self._placer.waiting:
+            deadlines.on_request(patience_s)
+        return deadlines.age_s(patience_s)
+
     @property
     def _left_s(self) -> float:
         return self._caller.deadline_s - self._parts.clock()
@@ -288,6 +302,7 @@
             work=self._work,
             arrived_at_s=self._request.arrived_at_s,
             deadline_s=self._caller.deadline_s,
+            age_s=self._age_s,
         )
         return Seeker(
             patience=patience,
@@ -317,6 +332,7 @@
             others=view.load.others,
             report_age_ms=_age_ms(view.report_age_s(now_s=self._parts.clock())),
             candidates=chosen.candidates,
+            caller_age_ms=round(self._age_s * 1000, 1),
         )
         self._excluded.add(view.registration.id)
         self._hedge_at_s = self._parts.clock() + self._work.late_s
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -126,7 +126,12 @@
             body=self._body(request),
             upload=request.upload,
         )
-        return RoutedRequest(caller=caller, route=route, arrived_at_s=arrived_at_s)
+        return RoutedRequest(
+            caller=caller,
+            route=route,
+            arrived_at_s=arrived_at_s,
+            patience_s=terms.deadline_s,
+        )
 
     def _route(self, request: StreamingRequest) -> Route:
         if self._world.config is None:
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -105,7 +105,7 @@
             Whether it waits for room.
         """
         self.pool.shortlist.on_request(now_s=self._clock())
-        if not self._line:
+        if not self._is_behind(seeker):
             chosen = await self._find(seeker)
             if chosen is not None:
                 return chosen
@@ -116,6 +116,13 @@
             return None
         return await self._wait(seeker)
 
+    def _is_behind(self, seeker: Seeker) -> bool:
+        """Tell whether requests wait that go before this one."""
+        now_s = self._clock()
+        if now_s > seeker.patience.late_from_s:
+            return bool(self._line)
+        return self._line.has_before(rank=seeker.rank, now_s=now_s)
+
     async def _wait(self, seeker: Seeker) -> Chosen | None:
         placed: asyncio.Future[Chosen | None]
         placed = asyncio.get_running_loop().create_future()
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -7,6 +7,7 @@
 from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
     ColdAllowance,
+    DeadlineProfile,
     Registration,
     Route,
     ServicePool,
@@ -66,6 +67,9 @@
         self._pools: dict[str, ServicePool] = {}
         self._repeats: dict[str, RatioBudget] = {}
         self._work: dict[str, WorkEstimate] = {}
+        self._deadlines: defaultdict[str, DeadlineProfile] = defaultdict(
+            DeadlineProfile
+        )
 
     def apply(self, world: World, *, entries: frozenset[str], now_s: float) -> None:
         """Take in what is known now."""
@@ -141,3 +145,7 @@
             estimate = WorkEstimate(route=route)
             self._work[route.name] = estimate
         return estimate
+
+    def deadlines(self, route: Route) -> DeadlineProfile:
+        """Return the deadlines with which callers of a route come."""
+        return self._deadlines[route.name]
