--- a/packages/core/src/borageramp_core/_internal/reasons.py
+++ b/packages/core/src/borageramp_core/_internal/reasons.py
@@ -14,6 +14,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_LATE = "body_late"
     UNKNOWN_SERVICE = "unknown_service"
     KEY_REQUIRED = "key_required"
     KEY_WITHOUT_ISSUE_TIME = "key_without_issue_time"
--- a/packages/entry/src/borageramp_entry/_internal/border/uploads.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/uploads.py
@@ -6,22 +6,25 @@
 
 import asyncio
 from collections import deque
-from typing import Any
+from typing import Protocol
 
-from borageramp_entry._internal.border.http import BoundedRequest
 from borageramp_entry._internal.serving.requests import BodyCutError
 
-__all__ = ["StreamingRequest", "Upload"]
+__all__ = ["Pausable", "Upload"]
 
-# Larger bodies are passed on as they arrive; smaller ones are held whole, and
-# can be sent again.
-STREAM_FROM_BYTES = 65_536
 # What is held of a body: enough that most can be sent again after an upstream
 # turned them away, and little for hundreds of uploads at once.
 MAX_HELD_BYTES = 262_144
-# Time for the rest of a body whose request has its answer already, so that the
-# caller reads that answer before the connection ends.
-REST_TIMEOUT_S = 2.0
+
+
+class Pausable(Protocol):
+    """A connection whose reading can be paused."""
+
+    def pause_reading(self) -> None:
+        """Stop reading."""
+
+    def resume_reading(self) -> None:
+        """Read on."""
 
 
 class Upload:
@@ -31,7 +34,7 @@
     ----------
     length : int or None
         Its length in bytes; ``None`` if the caller didn't say.
-    transport : object
+    connection : Pausable
         The caller's connection, which is paused while too much is held.
 
     Attributes
@@ -40,10 +43,10 @@
         Whether all of it has arrived.
     """
 
-    def __init__(self, *, length: int | None, transport: Any) -> None:
+    def __init__(self, *, length: int | None, connection: Pausable) -> None:
         self.length = length
         self.ended = False
-        self._transport = transport
+        self._connection = connection
         self._parts: deque[bytes] = deque()
         self._held_bytes = 0
         self._dropped_bytes = 0
@@ -65,7 +68,7 @@
         self._held_bytes += len(data)
         if self._held_bytes >= MAX_HELD_BYTES and not self._paused:
             self._paused = True
-            self._transport.pauseProducing()
+            self._connection.pause_reading()
         self._arrived.set()
 
     def on_end(self) -> None:
@@ -88,7 +91,7 @@
     def _resume(self) -> None:
         if self._paused:
             self._paused = False
-            self._transport.resumeProducing()
+            self._connection.resume_reading()
 
     async def read(self, offset: int) -> bytes:
         """Return the next part from an offset on; empty at the end.
@@ -129,75 +132,3 @@
             self._dropped_bytes += len(part)
             self._held_bytes -= len(part)
         self._resume()
-
-
-class StreamingRequest(BoundedRequest):
-    """A request that is served before all of a large body has arrived.
-
-    Attributes
-    ----------
-    upload : Upload or None
-        The body; ``None`` if it was small and is in ``content``.
-    """
-
-    upload: Upload | None = None
-    _length: int | None = None
-    _rest_call: Any = None
-    _answered = False
-
-    def gotLength(self, length: int | None) -> None:
-        self.max_body_bytes = self.channel.factory.limits.max_body_bytes
-        super().gotLength(length)
-        self._length = length
-
-    def handleContentChunk(self, data: bytes) -> None:
-        if self.upload is not None:
-            self._received_bytes += len(data)
-            if self._received_bytes > self.max_body_bytes:
-                # Its answer can't be changed any more.
-                self.channel.forceAbortClient()
-                return
-            self.upload.on_data(data)
-            return
-        super().handleContentChunk(data)
-        if self._received_bytes > STREAM_FROM_BYTES or self.body_too_large:
-            self._serve_early()
-
-    def _serve_early(self) -> None:
-        channel: Any = self.channel
-        self.upload = Upload(length=self._length, transport=channel.transport)
-        content: Any = self.content
-        self.upload.on_data(content.getvalue())
-        super().requestReceived(channel._command, channel._path, channel._version)
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
-        """Take in the end of the request."""
-        if self.upload is None:
-            super().requestReceived(command, path, version)
-            return
-        self.upload.on_end()
-        if self._answered:
-            self._finish_now()
-
-    def finish(self) -> None:
-        """End the answer; the connection goes on once the body is read."""
-        if self.upload is None or self.upload.ended:
-            super().finish()
-            return
-        self._answered = True
-        self.upload.drop_rest()
-        self._rest_call = self.channel.callLater(
-            REST_TIMEOUT_S, self.channel.forceAbortClient
-        )
-
-    def _finish_now(self) -> None:
-        if self._rest_call is not None and self._rest_call.active():
-            self._rest_call.cancel()
-        super().finish()
-
-    def connectionLost(self, reason: Any) -> None:
-        if self._rest_call is not None and self._rest_call.active():
-            self._rest_call.cancel()
-        if self.upload is not None:
-            self.upload.on_cut()
-        super().connectionLost(reason)
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -5,10 +5,7 @@
 import random
 import socket
 import uuid
-from typing import TYPE_CHECKING, Any, cast
-
-from twisted.internet.interfaces import IListeningPort
-from twisted.web.server import Site
+from typing import TYPE_CHECKING, Any
 
 from borageramp_core.routing import (
     ColdAllowance,
@@ -19,13 +16,14 @@
     UpstreamView,
 )
 from borageramp_entry._internal.addresses import split_address
-from borageramp_entry._internal.border.http import DrainingSite
+from borageramp_entry._internal.border.server import HttpHandler, HttpServer
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.crashes import CrashWatch, make_suspects
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
-from borageramp_entry._internal.routed.front import FrontResource, FrontSite
+from borageramp_entry._internal.routed.front import Front
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.knowledge import KnowledgeTask
+from borageramp_entry._internal.routed.listener import BACKLOG
 from borageramp_entry._internal.routed.listing import ListingTask, lease_for
 from borageramp_entry._internal.routed.pages import (
     ChangesResource,
@@ -69,22 +67,18 @@
         The platform that it runs on.
     listener : socket.socket
         Where callers connect.
-    reactor : object
-        The running reactor.
     """
 
-    def __init__(
-        self, *, platform: Platform, listener: socket.socket, reactor: Any
-    ) -> None:
+    def __init__(self, *, platform: Platform, listener: socket.socket) -> None:
         self._platform = platform
         self._listener = listener
-        self._reactor = reactor
         self._settings = platform.load_settings()
         self._clock = asyncio.get_running_loop().time
         self._rng = random.Random()
         self._closing = False
         self._known = asyncio.Event()
         self._background: list[asyncio.Task[Any]] = []
+        self._pages: list[asyncio.Server] = []
         self._listing_task: asyncio.Task[None]
         settings = self._settings
         self._own = Instance(
@@ -179,7 +173,7 @@
             rng=self._rng,
             clock=self._clock,
         )
-        self._front = FrontResource(
+        self._front = Front(
             world=self._knowledge.world,
             dispatcher=dispatcher,
             dialect=self._platform.callers,
@@ -187,7 +181,7 @@
             rng=self._rng,
             clock=self._clock,
         )
-        self._site = FrontSite(self._front)
+        self._server = HttpServer(self._front)
 
     async def _serve_metrics(self) -> None:
         """Begin to measure, once there has been time to take up work.
@@ -201,8 +195,8 @@
         metrics = Metrics(name=self._own.name, data_centre=self._own.data_centre)
         self._add_gauges(metrics)
         self._front.metrics = metrics
-        site = DrainingSite(MetricsResource(metrics=metrics))
-        self._listen_at(self._settings.metrics_address, site)
+        page = MetricsResource(metrics=metrics)
+        await self._listen_at(self._settings.metrics_address, page)
 
     def _add_gauges(self, metrics: "Metrics") -> None:
         gauge = metrics.gauge
@@ -248,8 +242,8 @@
         self._pools.apply(world, entries=self._instances.names(), now_s=self._clock())
         for suspect in world.crash_suspects():
             self._crashes.learn(suspect)
-        if world.config is not None and world.config.limits != self._site.limits:
-            self._site.limits = world.config.limits
+        if world.config is not None:
+            self._server.limits = world.config.limits
         listed = {i.name for i in world.instances()}
         self._listing.on_list(listed)
         _log.info(
@@ -283,7 +277,7 @@
         stop : asyncio.Event
             Set when the entry has to stop.
         """
-        self._listen()
+        await self._listen()
         self._listing_task = asyncio.ensure_future(self._listing.run())
         self._background.append(self._listing_task)
         for work in (
@@ -293,7 +287,7 @@
         ):
             self._background.append(asyncio.ensure_future(work))
         await self._wait_for_knowledge()
-        port = self._take_callers()
+        port = await self._take_callers()
         _log.info("started", instance=self._own.name, incarnation=self._own.incarnation)
         await self._until(stop)
         await self._stop(port)
@@ -314,15 +308,13 @@
             for task in done:
                 task.result()
 
-    def _take_callers(self) -> IListeningPort:
-        port: IListeningPort = self._reactor.adoptStreamPort(
-            self._listener.fileno(), self._listener.family, self._site
+    async def _take_callers(self) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            self._server.connection, sock=self._listener, backlog=BACKLOG
         )
-        # The reactor has a descriptor of its own.
-        self._listener.close()
-        return port
 
-    def _listen(self) -> None:
+    async def _listen(self) -> None:
         settings = self._settings
         dialect = self._platform.directory
         directory = DirectoryResource(
@@ -334,17 +326,21 @@
             rng=self._rng,
         )
         readiness = ReadinessResource(ready=self._ready, path=dialect.ready_path)
-        self._listen_at(settings.directory_address, DrainingSite(directory))
-        self._listen_at(settings.check_address, DrainingSite(readiness))
         changes = ChangesResource(source=self._source)
-        self._listen_at(settings.peer_address, DrainingSite(changes))
+        await self._listen_at(settings.directory_address, directory)
+        await self._listen_at(settings.check_address, readiness)
+        await self._listen_at(settings.peer_address, changes)
 
-    def _listen_at(self, address: str | None, site: Site) -> None:
-        if address is not None:
-            host, number = split_address(address)
-            self._reactor.listenTCP(number, site, interface=host)
+    async def _listen_at(self, address: str | None, handler: HttpHandler) -> None:
+        if address is None:
+            return
+        host, number = split_address(address)
+        server = HttpServer(handler)
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(server.connection, host, number)
+        self._pages.append(listening)
 
-    async def _stop(self, port: IListeningPort) -> None:
+    async def _stop(self, port: asyncio.Server) -> None:
         started_at_s = self._clock()
         self._closing = True
         _log.info("stopping", in_flight=self._front.in_flight)
@@ -352,12 +348,14 @@
         withdrawing = asyncio.ensure_future(self._listing.withdraw())
         # Callers keep their addresses for a while; until then they are served.
         await asyncio.sleep(self._settings.leave_s)
-        cast(Any, port).stopListening()
+        port.close()
         until_s = started_at_s + self._settings.drain_s
-        while self._site.close_idle() and self._clock() < until_s:
+        while self._server.close_idle() and self._clock() < until_s:
             await asyncio.sleep(STOP_STEP_S)
         for task in (*self._background, withdrawing):
             task.cancel()
+        for page in self._pages:
+            page.close()
         await self._client.close()
         self._source.close()
         self._store.close()
--- a/packages/entry/src/borageramp_entry/_internal/routed/feed.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/feed.py
@@ -5,11 +5,11 @@
 from collections import deque
 from dataclasses import dataclass
 
-from pydantic import ValidationError
+import msgspec
 
 from borageramp_core import HistoryLostError
 from borageramp_entry._internal.store.base import Change, Item
-from borageramp_settings import StrictModel
+from borageramp_settings import StrictStruct
 
 __all__ = ["BadFeedError", "ChangeLog", "pack_change", "unpack_change"]
 
@@ -116,14 +116,14 @@
         return packed
 
 
-class _Item(StrictModel):
+class _Item(StrictStruct, frozen=True, kw_only=True):
     key: str
     # Each character stands for a byte: nearly all are text, and compress well.
     value: str
     revision: int
 
 
-class _Change(StrictModel):
+class _Change(StrictStruct, frozen=True, kw_only=True):
     revision: int
     written: tuple[_Item, ...]
     deleted: tuple[str, ...]
@@ -132,15 +132,11 @@
 def pack_change(change: Change) -> bytes:
     """Return the form in which instances tell each other of changes."""
     written = tuple(
-        _Item.model_construct(
-            key=i.key, value=i.value.decode("latin-1"), revision=i.revision
-        )
+        _Item(key=i.key, value=i.value.decode("latin-1"), revision=i.revision)
         for i in change.written
     )
-    packed = _Change.model_construct(
-        revision=change.revision, written=written, deleted=change.deleted
-    )
-    return zlib.compress(packed.model_dump_json().encode(), COMPRESSION)
+    packed = _Change(revision=change.revision, written=written, deleted=change.deleted)
+    return zlib.compress(msgspec.json.encode(packed), COMPRESSION)
 
 
 def unpack_change(packed: bytes) -> Change:
@@ -152,12 +148,12 @@
         If it can't be read.
     """
     try:
-        told = _Change.model_validate_json(_unzip(packed))
+        told = msgspec.json.decode(_unzip(packed), type=_Change)
         written = tuple(
             Item(key=i.key, value=i.value.encode("latin-1"), revision=i.revision)
             for i in told.written
         )
-    except (ValidationError, UnicodeEncodeError, zlib.error) as error:
+    except (msgspec.DecodeError, UnicodeEncodeError, zlib.error) as error:
         raise BadFeedError(f"unreadable changes: {error!r:.200}") from error
     return Change(written=written, deleted=told.deleted, revision=told.revision)
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -3,25 +3,22 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, cast
-
-from twisted.web.server import Request
+from typing import TYPE_CHECKING
 
 from borageramp_core import Reason, RefusedError, Verdict
-from borageramp_core.routing import CallerLimits, Route, World, choose_service
-from borageramp_entry._internal.border.http import DrainingSite, Leaf
-from borageramp_entry._internal.border.uploads import StreamingRequest
+from borageramp_core.routing import Route, World, choose_service
+from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
 from borageramp_entry._internal.routed.ports import CallerDialect
 from borageramp_entry._internal.routed.tries import RoutedAnswer
-from borageramp_entry._internal.serving.requests import CallerRequest, Headers
+from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import TryFailedError
 
 if TYPE_CHECKING:
     from borageramp_entry._internal.metrics import Metrics
 
-__all__ = ["FrontResource", "FrontSite"]
+__all__ = ["Front"]
 
 _log = get_logger(__name__)
 
@@ -30,25 +27,7 @@
 DEFAULT_DEADLINE_S = 10.0
 
 
-class FrontSite(DrainingSite):
-    """A site with the operators' limits on callers."""
-
-    requestFactory = StreamingRequest
-    limits = CallerLimits()
-
-    def buildProtocol(self, addr: Any) -> Any:
-        """Return a connection with the limits of now."""
-        # Connections idle a little longer than callers reuse them.
-        self.timeOut = self.limits.idle_timeout_s
-        wrapper = super().buildProtocol(addr)
-        channel = cast(Any, wrapper)
-        channel.header_timeout_s = self.limits.header_timeout_s
-        channel.totalHeadersSize = self.limits.max_header_bytes
-        channel.MAX_LENGTH = self.limits.max_header_bytes
-        return wrapper
-
-
-class FrontResource(Leaf):
+class Front:
     """Serves requests by their routes.
 
     Parameters
@@ -82,7 +61,6 @@
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        super().__init__()
         self._world = world
         self.dispatcher = dispatcher
         self.dialect = dialect
@@ -92,17 +70,20 @@
         self.clock = clock
         self.in_flight = 0
 
-    async def serve(self, request: Request) -> None:
+    async def serve(self, request: HttpRequest) -> None:
         """Serve a request."""
         self.in_flight += 1
         try:
-            await _Exchange(self, cast(StreamingRequest, request)).run()
+            await _Exchange(self, request).run()
         finally:
             self.in_flight -= 1
 
-    def routed(
-        self, request: StreamingRequest, *, arrived_at_s: float
-    ) -> RoutedRequest:
+    def body_timeout_s(self, request: HttpRequest) -> float:
+        """Return the time for the body of a request: that of its caller."""
+        deadline_s = self.dialect.read_terms(request.headers).deadline_s
+        return DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
+
+    def routed(self, request: HttpRequest, *, arrived_at_s: float) -> RoutedRequest:
         """Return a request with its route.
 
         Raises
@@ -110,20 +91,23 @@
         RefusedError
             If there is none, or the request is not allowed.
         """
+        self._check(request)
         route = self._route(request)
-        terms = self.dialect.read_terms(_headers(request))
+        terms = self.dialect.read_terms(request.headers)
         if not terms.request_id:
             raise _refused(Reason.BAD_REQUEST, "the request has no identifier")
+        if terms.fault:
+            raise _refused(Reason.BAD_REQUEST, terms.fault)
         left_s = DEFAULT_DEADLINE_S if terms.deadline_s is None else terms.deadline_s
         caller = CallerRequest(
             request_id=terms.request_id,
             service=choose_service(route, rng=self._rng),
             class_name=route.name,
             deadline_s=arrived_at_s + min(left_s, route.timeout_s),
-            method=request.method.decode("latin-1"),
-            path=request.uri.decode("latin-1"),
-            headers=self.dialect.forwarded(_headers(request)),
-            body=self._body(request),
+            method=request.method,
+            path=request.target,
+            headers=self.dialect.forwarded(request.headers),
+            body=request.body,
             upload=request.upload,
         )
         return RoutedRequest(
@@ -133,7 +117,13 @@
             patience_s=terms.deadline_s,
         )
 
-    def _route(self, request: StreamingRequest) -> Route:
+    def _check(self, request: HttpRequest) -> None:
+        if request.body_too_large:
+            raise _refused(Reason.BODY_TOO_LARGE, "the body is over its limit")
+        if request.body_late:
+            raise _refused(Reason.BODY_LATE, "the body did not arrive in time")
+
+    def _route(self, request: HttpRequest) -> Route:
         if self._world.config is None:
             raise RefusedError(
                 verdict=Verdict.NOT_RUN,
@@ -141,22 +131,12 @@
                 detail="this instance has no configuration yet",
                 retry_after_s=NOT_READY_RETRY_S,
             )
-        host = request.getHeader("host") or ""
-        path = request.path.decode("latin-1")
-        route = self._world.table.match(host=host, path=path)
+        host = (request.header("host") or b"").decode("latin-1")
+        route = self._world.table.match(host=host, path=request.path)
         if route is None:
             raise _refused(Reason.UNKNOWN_SERVICE, "no route matches the request")
         return route
 
-    def _body(self, request: StreamingRequest) -> bytes:
-        config = self._world.config
-        limits = CallerLimits() if config is None else config.limits
-        content = request.content
-        body: bytes = content.read() if content is not None else b""
-        if request.body_too_large or len(body) > limits.max_body_bytes:
-            raise _refused(Reason.BODY_TOO_LARGE, "the body is over its limit")
-        return body
-
     def count(self, routed: RoutedRequest | None, outcome: str, took_s: float) -> None:
         """Count a request that got its final answer."""
         if self.metrics is None:
@@ -173,14 +153,6 @@
     return RefusedError(verdict=Verdict.NOT_RUN, reason=reason, detail=detail)
 
 
-def _headers(request: Request) -> Headers:
-    return tuple(
-        (name.decode("latin-1").lower(), value)
-        for name, values in request.requestHeaders.getAllRawHeaders()
-        for value in values
-    )
-
-
 def _ms(duration_s: float | None) -> float | None:
     return None if duration_s is None else round(duration_s * 1000, 1)
 
@@ -188,16 +160,13 @@
 class _Exchange:
     """One request of a caller, and its answer."""
 
-    def __init__(self, front: FrontResource, request: StreamingRequest) -> None:
+    def __init__(self, front: Front, request: HttpRequest) -> None:
         self._front = front
         self._request = request
         self._arrived_at_s = front.clock()
         self._routed: RoutedRequest | None = None
         self._id = ""
         self._deadline_s: float | None = None
-        self._started = False
-        self._ready = asyncio.Event()
-        self._ready.set()
 
     async def run(self) -> None:
         outcome = "cancelled"
@@ -226,7 +195,7 @@
         )
 
     async def _run(self) -> str:
-        terms = self._front.dialect.read_terms(_headers(self._request))
+        terms = self._front.dialect.read_terms(self._request.headers)
         self._id = terms.request_id
         self._deadline_s = terms.deadline_s
         try:
@@ -241,38 +210,33 @@
 
     async def _deliver(self, answer: RoutedAnswer) -> str:
         head = answer.answer.head
-        self._start(head.status, head.headers)
+        last = self._front.closing()
         if answer.whole:
-            length = str(len(answer.body)).encode()
-            self._request.setHeader(b"content-length", length)
-            self._request.write(answer.body)
-            self._request.finish()
+            self._request.answer(head.status, head.headers, answer.body, last=last)
             return "failed" if answer.failed else "answered"
+        self._request.start(head.status, head.headers, last=last)
         return await self._stream(answer)
 
     async def _stream(self, answer: RoutedAnswer) -> str:
         """Pass a large answer on as it arrives, no faster than it is read."""
-        self._request.registerProducer(cast(Any, self), True)
         try:
             async with asyncio.timeout(self._left_s()):
                 await self._pass_on(answer)
         except (TryFailedError, TimeoutError) as error:
             _log.warning("answer cut short", request_id=self._id, error=repr(error))
             answer.answer.abort()
-            self._fail()
+            self._request.abort()
             return "cut_short"
         except BaseException:
             answer.answer.abort()
             raise
-        self._request.unregisterProducer()
         self._request.finish()
         return "answered"
 
     async def _pass_on(self, answer: RoutedAnswer) -> None:
         part = answer.body
         while part:
-            await self._ready.wait()
-            self._request.write(part)
+            await self._request.write(part)
             left_s = self._left_s()
             if left_s <= 0:
                 # An answer that always has more ready never waits.
@@ -284,24 +248,6 @@
             return DEFAULT_DEADLINE_S
         return self._routed.caller.deadline_s - self._front.clock()
 
-    def pauseProducing(self) -> None:
-        self._ready.clear()
-
-    def resumeProducing(self) -> None:
-        self._ready.set()
-
-    def stopProducing(self) -> None:
-        self._ready.set()
-
-    def _start(self, status: int, headers: Any) -> None:
-        self._started = True
-        self._request.setResponseCode(status)
-        for name, value in headers:
-            self._request.responseHeaders.addRawHeader(name.encode(), value)
-        if self._front.closing():
-            self._request.setHeader(b"connection", b"close")
-            cast(Any, self._request.channel).persistent = False
-
     def _refuse(self, error: RefusedError) -> None:
         answer = self._front.dialect.refusal(error, request_id=self._id)
         _log.info(
@@ -313,22 +259,19 @@
             detail=error.detail,
             retry_after_s=error.retry_after_s,
         )
-        self._start(answer.status, answer.headers)
-        self._request.setHeader(b"content-length", str(len(answer.body)).encode())
-        self._request.write(answer.body)
-        self._request.finish()
+        self._request.answer(
+            answer.status, answer.headers, answer.body, last=self._front.closing()
+        )
 
     def _fail(self) -> None:
         """End a request that this program failed to serve."""
-        if not self._started:
-            self._refuse(
-                RefusedError(
-                    verdict=Verdict.MAY_HAVE_RUN,
-                    reason=Reason.INTERNAL,
-                    detail="the entry failed; its log has the cause",
-                )
-            )
+        if self._request.started:
+            self._request.abort()
             return
-        transport = self._request.transport
-        if transport is not None:
-            transport.abortConnection()
+        self._refuse(
+            RefusedError(
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=Reason.INTERNAL,
+                detail="the entry failed; its log has the cause",
+            )
+        )
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/listener.py
@@ -0,0 +1,19 @@
+"""The socket where callers connect."""
+
+import socket
+
+from borageramp_entry._internal.addresses import split_address
+
+__all__ = ["BACKLOG", "open_listener"]
+
+# Connections that wait to be taken, also while the rest of the program loads.
+BACKLOG = 512
+
+
+def open_listener(address: str) -> socket.socket:
+    """Return a socket that takes connections at an address."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
--- a/packages/entry/src/borageramp_entry/_internal/routed/main.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/main.py
@@ -1,25 +1,21 @@
 """Starts an entry that serves routes, on a platform."""
 
 import signal
-import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from borageramp_entry._internal.addresses import split_address
-from borageramp_settings import RoutedSettings
+from borageramp_entry._internal.routed.listener import open_listener
 
 if TYPE_CHECKING:
     from borageramp_entry._internal.routed.ports import Platform
+    from borageramp_settings import RoutedSettings
 
 __all__ = ["run_routed"]
 
-# Connections that wait to be taken, also while the rest of the program loads.
-BACKLOG = 512
-
 
 def run_routed(
     *,
-    load_settings: Callable[[], RoutedSettings],
+    load_settings: Callable[[], "RoutedSettings"],
     load_platform: Callable[[], "Platform"],
     log_level: str = "info",
 ) -> None:
@@ -48,12 +44,3 @@
     from borageramp_entry._internal.routed.process import serve_routed
 
     serve_routed(load_platform(), listener=listener, log_level=log_level)
-
-
-def open_listener(address: str) -> socket.socket:
-    """Return a socket that takes connections at an address."""
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-    listener.setblocking(False)
-    return listener
--- a/packages/entry/src/borageramp_entry/_internal/routed/pages.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pages.py
@@ -3,12 +3,11 @@
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
-
-from twisted.web.server import Request
+from urllib.parse import parse_qs
 
 from borageramp_core import HistoryLostError
 from borageramp_core.routing import Instance
-from borageramp_entry._internal.border.http import Leaf
+from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.routed.instances import InstanceList
 from borageramp_entry._internal.routed.ports import DirectoryDialect
 from borageramp_entry._internal.routed.source import (
@@ -32,15 +31,24 @@
 MAX_WAIT_S = 5.0
 
 
-def _send(request: Request, status: int, body: bytes, content_type: bytes) -> None:
-    request.setResponseCode(status)
-    request.setHeader(b"content-type", content_type)
-    request.setHeader(b"content-length", str(len(body)).encode())
-    request.write(body)
-    request.finish()
+# Time for the body of a request, which none of these pages needs.
+BODY_TIMEOUT_S = 2.0
+JSON = b"application/json"
+
+
+def _send(request: HttpRequest, status: int, body: bytes, content_type: bytes) -> None:
+    request.answer(status, (("content-type", content_type),), body)
+
+
+class _Page:
+    """A page of this program."""
+
+    def body_timeout_s(self, request: HttpRequest) -> float:
+        """Return the time for the body of a request to arrive."""
+        return BODY_TIMEOUT_S
 
 
-class DirectoryResource(Leaf):
+class DirectoryResource(_Page):
     """Tells callers which addresses to use.
 
     Parameters
@@ -69,7 +77,6 @@
         ttl_s: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        super().__init__()
         self._instances = instances
         self._ready = ready
         self._knows = knows
@@ -77,22 +84,22 @@
         self._ttl_s = ttl_s
         self._rng = rng
 
-    async def serve(self, request: Request) -> None:
+    async def serve(self, request: HttpRequest) -> None:
         """Serve a request."""
-        if request.path != self._dialect.addresses_path:
-            _send(request, 404, b"{}", b"application/json")
+        if request.path.encode() != self._dialect.addresses_path:
+            _send(request, 404, b"{}", JSON)
             return
         if not self._knows():
             # Others that are listed may know no configuration yet either.
-            _send(request, 503, b"{}", b"application/json")
+            _send(request, 503, b"{}", JSON)
             return
         usable = self._instances.usable(own_ready=self._ready())
         if not usable:
-            _send(request, 503, b"{}", b"application/json")
+            _send(request, 503, b"{}", JSON)
             return
         addresses = [i.caller_address for i in self._sample(usable)]
         body = self._dialect.answer(addresses, ttl_s=self._ttl_s())
-        _send(request, 200, body, b"application/json")
+        _send(request, 200, body, JSON)
 
     def _sample(self, usable: list[Instance]) -> list[Instance]:
         """Return no more than fit an answer, larger machines more often."""
@@ -103,7 +110,7 @@
         return usable[:MAX_ADDRESSES]
 
 
-class ReadinessResource(Leaf):
+class ReadinessResource(_Page):
     """Tells whether this instance takes callers.
 
     Parameters
@@ -115,19 +122,18 @@
     """
 
     def __init__(self, *, ready: Callable[[], bool], path: bytes) -> None:
-        super().__init__()
         self._ready = ready
         self._path = path
 
-    async def serve(self, request: Request) -> None:
+    async def serve(self, request: HttpRequest) -> None:
         """Serve a request."""
         status = 200 if self._ready() else 503
-        if request.path != self._path:
+        if request.path.encode() != self._path:
             status = 404
-        _send(request, status, b"{}", b"application/json")
+        _send(request, status, b"{}", JSON)
 
 
-class MetricsResource(Leaf):
+class MetricsResource(_Page):
     """Serves the metrics.
 
     Parameters
@@ -137,15 +143,14 @@
     """
 
     def __init__(self, *, metrics: "Metrics") -> None:
-        super().__init__()
         self._metrics = metrics
 
-    async def serve(self, request: Request) -> None:
+    async def serve(self, request: HttpRequest) -> None:
         """Serve a request."""
         _send(request, 200, self._metrics.text(), b"text/plain; version=0.0.4")
 
 
-class ChangesResource(Leaf):
+class ChangesResource(_Page):
     """Tells other instances what changed in the store.
 
     Parameters
@@ -155,21 +160,20 @@
     """
 
     def __init__(self, *, source: ChangeSource) -> None:
-        super().__init__()
         self._source = source
 
-    async def serve(self, request: Request) -> None:
+    async def serve(self, request: HttpRequest) -> None:
         """Serve a request."""
         status, body = await self._answer(request)
         _send(request, status, body, b"application/octet-stream")
 
-    async def _answer(self, request: Request) -> tuple[int, bytes]:
-        if request.path != CHANGES_PATH.encode():
+    async def _answer(self, request: HttpRequest) -> tuple[int, bytes]:
+        if request.path != CHANGES_PATH:
             return 404, b"{}"
-        args = request.args or {}
+        args = parse_qs(request.target.partition("?")[2])
         try:
-            after = int(args[b"after"][0])
-            wait_s = min(MAX_WAIT_S, float(args[b"wait_s"][0]))
+            after = int(args["after"][0])
+            wait_s = min(MAX_WAIT_S, float(args["wait_s"][0]))
         except (KeyError, ValueError):
             return 400, b"{}"
         try:
--- a/packages/entry/src/borageramp_entry/_internal/routed/ports.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/ports.py
@@ -30,10 +30,13 @@
         Identifier; empty if it gives none.
     deadline_s : float or None
         Seconds for which it waits; ``None`` if it doesn't say.
+    fault : str
+        What is wrong with the terms; empty if nothing is.
     """
 
     request_id: str
     deadline_s: float | None
+    fault: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/src/borageramp_entry/_internal/routed/process.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/process.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 import sys
-from typing import Any, NoReturn
+from typing import NoReturn
 
 from borageramp_core import SettingsError
 from borageramp_entry._internal.logs import configure_logs, get_logger
@@ -37,19 +37,10 @@
         Lowest level that is logged.
     """
     _set_up_logs(log_level)
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    from twisted.internet import asyncioreactor
-
-    asyncioreactor.install(loop)
-    from twisted.internet import reactor as installed
-
-    reactor: Any = installed
-    failures: list[BaseException] = []
-    loop.call_soon(_start, platform, listener, reactor, failures)
-    reactor.run(installSignalHandlers=False)
-    if failures:
-        _report(failures[0])
+    try:
+        asyncio.run(_serve(platform, listener))
+    except Exception as failure:
+        _report(failure)
 
 
 def exit_before_serving(failure: BaseException, *, log_level: str) -> NoReturn:
@@ -71,24 +62,7 @@
     sys.exit(EXIT_FAILED)
 
 
-def _start(
-    platform: Platform,
-    listener: socket.socket,
-    reactor: Any,
-    failures: list[BaseException],
-) -> None:
-    running = asyncio.ensure_future(_serve(platform, listener, reactor))
-
-    def ended(task: "asyncio.Task[None]") -> None:
-        error = task.exception()
-        if error is not None:
-            failures.append(error)
-        reactor.stop()
-
-    running.add_done_callback(ended)
-
-
-async def _serve(platform: Platform, listener: socket.socket, reactor: Any) -> None:
+async def _serve(platform: Platform, listener: socket.socket) -> None:
     from borageramp_entry._internal.routed.app import RoutedApp
 
     # What is loaded stays for good and need not be looked at again.
@@ -98,6 +72,6 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    app = RoutedApp(platform=platform, listener=listener, reactor=reactor)
+    app = RoutedApp(platform=platform, listener=listener)
     loop.add_signal_handler(signal.SIGHUP, app.reload)
     await app.run(stop)
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -2,11 +2,11 @@
 
 from typing import Annotated
 
-from pydantic import Field, ValidationError
+import msgspec
 
 from borageramp_core.routing import CrashSuspect, Fact, Instance, Unreadable
 from borageramp_entry._internal.store.base import Item
-from borageramp_settings import StrictModel
+from borageramp_settings import StrictStruct
 
 __all__ = [
     "instance_key",
@@ -20,17 +20,17 @@
 SUSPECTS_PREFIX = "borageramp/suspects/"
 
 
-class _Record(StrictModel):
+class _Record(StrictStruct, frozen=True, kw_only=True):
     name: str
     incarnation: str
     data_centre: str
     caller_address: str
     check_address: str
     peer_address: str | None = None
-    capacity: Annotated[float, Field(gt=0)] = 1.0
+    capacity: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
-class _Suspect(StrictModel):
+class _Suspect(StrictStruct, frozen=True, kw_only=True):
     fingerprint: str
     upstreams: tuple[str, ...]
 
@@ -51,7 +51,7 @@
         peer_address=instance.peer_address,
         capacity=instance.capacity,
     )
-    return record.model_dump_json().encode()
+    return msgspec.json.encode(record)
 
 
 def suspect_key(fingerprint: str, *, instance: str) -> str:
@@ -62,18 +62,18 @@
 def pack_suspect(suspect: CrashSuspect) -> bytes:
     """Return the record of a suspect."""
     record = _Suspect(fingerprint=suspect.fingerprint, upstreams=suspect.upstreams)
-    return record.model_dump_json().encode()
+    return msgspec.json.encode(record)
 
 
 def read_record(item: Item) -> Fact | None:
     """Read a record of this system; ``None`` for any other item."""
     try:
         if item.key.startswith(INSTANCES_PREFIX):
-            record = _Record.model_validate_json(item.value)
-            return Instance(**record.model_dump())
+            record = msgspec.json.decode(item.value, type=_Record)
+            return Instance(**msgspec.structs.asdict(record))
         if item.key.startswith(SUSPECTS_PREFIX):
-            suspect = _Suspect.model_validate_json(item.value)
-            return CrashSuspect(**suspect.model_dump())
-    except ValidationError as error:
-        return Unreadable(problem=str(error.errors()[0]["msg"]))
+            suspect = msgspec.json.decode(item.value, type=_Suspect)
+            return CrashSuspect(**msgspec.structs.asdict(suspect))
+    except msgspec.DecodeError as error:
+        return Unreadable(problem=str(error))
     return None
--- a/packages/settings/src/borageramp_settings/__init__.pyi
+++ b/packages/settings/src/borageramp_settings/__init__.pyi
@@ -1,4 +1,4 @@
-from ._internal.base import StrictModel, parse_yaml, validate
+from ._internal.base import StrictModel, validate
 from ._internal.changes import (
     Assignment,
     ChangeRequest,
@@ -13,6 +13,7 @@
     validate_tree,
 )
 from ._internal.routed import FleetBounds, RoutedSettings
+from ._internal.structs import StrictStruct, convert, decode_json
 from ._internal.tree import (
     DataCentreTree,
     GlobalTree,
@@ -21,6 +22,7 @@
     Tree,
     UpstreamTree,
 )
+from ._internal.yaml_text import parse_yaml
 
 __all__ = [
     "Assignment",
@@ -35,9 +37,12 @@
     "ServiceDataCentreTree",
     "ServiceTree",
     "StrictModel",
+    "StrictStruct",
     "Tree",
     "UpstreamTree",
     "apply_assignments",
+    "convert",
+    "decode_json",
     "diff_trees",
     "load_entry_settings",
     "parse_yaml",
--- a/packages/settings/src/borageramp_settings/_internal/process.py
+++ b/packages/settings/src/borageramp_settings/_internal/process.py
@@ -9,9 +9,9 @@
     HostPort,
     Name,
     StrictModel,
-    parse_yaml,
     validate,
 )
+from borageramp_settings._internal.yaml_text import parse_yaml
 
 __all__ = ["EntrySettings", "load_entry_settings"]
 
--- a/tests/routed/test_directory.py
+++ b/tests/routed/test_directory.py
@@ -5,14 +5,20 @@
 from collections import Counter
 from typing import Any
 
-from twisted.web.test.requesthelper import DummyRequest
-
 from borageramp_core.routing import Instance
 from borageramp_entry._internal.routed.pages import MAX_ADDRESSES, DirectoryResource
 from borageramp_platform.messages import Directory
 from tests.lib.routed import make_instance
 
 
+class Question:
+    path = Directory.addresses_path.decode()
+
+    def answer(self, status: int, headers: Any, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
 class Listed:
     def __init__(self, *instances: Instance) -> None:
         self._instances = instances
@@ -32,15 +38,13 @@
         ttl_s=lambda: 2.0,
         rng=random.Random(seed),
     )
-    request: Any = DummyRequest([b""])
-    request.path = Directory.addresses_path
+    request: Any = Question()
     coroutine = directory.serve(request)
     try:
         coroutine.send(None)
     except StopIteration:
         pass
-    body = json.loads(b"".join(request.written))
-    return request.responseCode, body.get("addresses", [])
+    return request.status, json.loads(request.body).get("addresses", [])
 
 
 def make_fleet(count: int, *, prefix: str, capacity: float) -> list[Instance]:
--- a/tests/routed/test_front_limits.py
+++ b/tests/routed/test_front_limits.py
@@ -1,94 +1,238 @@
 """Limits on what callers may send, and how long they may take."""
 
-from typing import Any
+import asyncio
 
 import pytest
-from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
-from twisted.web.resource import Resource
 
-from borageramp_core.routing import CallerLimits
-from borageramp_entry._internal.routed.front import FrontSite
+from tests.lib.connections import BODY_TIMEOUT_S, CallerConnection, run_connection
 
 HEADER_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 60.0
 WHOLE = b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+HEAD = b"POST / HTTP/1.1\r\nHost: a.example\r\n"
+LIMITS = {"header_timeout_s": HEADER_TIMEOUT_S, "idle_timeout_s": IDLE_TIMEOUT_S}
+
+
+def test_a_header_section_that_does_not_end_is_refused() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"GET / HTTP/1.1\r\n")
+        # Whoever sends a little now and then is not idle.
+        for _ in range(9):
+            await asyncio.sleep(HEADER_TIMEOUT_S / 10 - 0.02)
+            await connection.send(b"X-Slow: 1\r\n")
+        assert connection.answer == b""
+        await asyncio.sleep(HEADER_TIMEOUT_S / 5)
+        assert connection.answer.startswith(b"HTTP/1.1 408 ")
+        assert connection.transport.closed or connection.transport.ended
+
+    run_connection(test, **LIMITS)
+
 
+def test_half_of_a_first_line_is_refused_too() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"GE")
+        await asyncio.sleep(HEADER_TIMEOUT_S + 0.1)
+        assert connection.answer.startswith(b"HTTP/1.1 408 ")
+
+    run_connection(test, **LIMITS)
+
+
+@pytest.mark.parametrize("parts", [[WHOLE], [WHOLE[:20], WHOLE[20:]]])
+def test_a_whole_header_section_ends_its_timer(parts: list[bytes]) -> None:
+    async def test(connection: CallerConnection) -> None:
+        for part in parts:
+            await connection.send(part)
+        await asyncio.sleep(HEADER_TIMEOUT_S + 0.1)
+        assert connection.answer.startswith(b"HTTP/1.1 200 ")
+        assert b" 408 " not in connection.answer
+
+    run_connection(test, **LIMITS)
+
+
+def test_a_connection_without_a_request_may_stay_idle() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        await asyncio.sleep(IDLE_TIMEOUT_S - 1.0)
+        assert not connection.transport.closed
+        await connection.send(WHOLE)
+        await asyncio.sleep(IDLE_TIMEOUT_S - 1.0)
+        assert not connection.transport.closed
+        await asyncio.sleep(2.0)
+        assert connection.transport.closed
+
+    run_connection(test, **LIMITS)
+
+
+def test_a_request_that_is_served_keeps_its_connection() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        await asyncio.sleep(3 * IDLE_TIMEOUT_S)
+        assert not connection.transport.closed and connection.handler.cancelled == 0
+
+    run_connection(test, answers=False, **LIMITS)
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        connection.protocol.connection_lost(None)
+        await asyncio.sleep(0.02)
+        assert connection.handler.cancelled == 1
+
+    run_connection(test, answers=False)
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_header_section_that_is_too_large_is_refused(whole: bool) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n")
+        for _ in range(5):
+            await connection.send(b"X-Much: " + b"x" * 1000 + b"\r\n")
+        await connection.send(b"\r\n" if whole else b"X-More: " + b"x" * 1000)
+        assert connection.answer.startswith(b"HTTP/1.1 431 ")
+        assert connection.requests == []
+
+    run_connection(test, max_header_bytes=4096)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Content-Length: 999999999999999999999\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 1\r\nContent-Length: 2\r\n",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Host: b.example\r\n",
+        b"Bad Name: 1\r\n",
+    ],
+)
+def test_a_request_that_can_be_read_in_two_ways_is_refused(headers: bytes) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(HEAD + headers + b"\r\n" + b"0\r\n\r\n" + WHOLE)
+        assert connection.answer.startswith(b"HTTP/1.1 400 ")
+        assert connection.answer.count(b"HTTP/1.1") == 1
+        assert connection.requests == []
+        assert connection.transport.closed or connection.transport.ended
+
+    run_connection(test)
+
+
+def test_a_request_without_host_is_refused() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        assert connection.answer.startswith(b"HTTP/1.1 400 ")
 
-class Transport(StringTransport):
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        pass
+    run_connection(test)
+
+
+def test_what_is_no_request_after_one_takes_nothing_from_it() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE + b"\x00\x01 no request\r\n\r\n" + WHOLE)
+        (request,) = connection.requests
+        request.answer(200, (), b"mine")
+        await asyncio.sleep(0.02)
+        assert connection.answer.endswith(b"mine") and len(connection.requests) == 1
+        assert connection.transport.closed or connection.transport.ended
+
+    run_connection(test, answers=False)
+
+
+@pytest.mark.parametrize("expect", [b"", b"Expect: 100-continue\r\n"])
+def test_a_body_that_never_comes_is_answered_at_the_deadline(expect: bytes) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(HEAD + expect + b"Content-Length: 9\r\n\r\nabc")
+        assert connection.answer == (
+            b"HTTP/1.1 100 Continue\r\n\r\n" if expect else b""
+        )
+        assert connection.requests == []
+        await asyncio.sleep(BODY_TIMEOUT_S)
+        (request,) = connection.requests
+        assert request.body_late
+        assert b"connection: close" in connection.answer
+        assert connection.transport.ended
 
+    run_connection(test)
 
-class Empty(Resource):
-    isLeaf = True
 
-    def render(self, request: Any) -> bytes:
-        return b""
+def test_requests_sent_in_one_go_are_served_in_turn() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE * 3)
+        assert len(connection.requests) == 1 and connection.transport.paused
+        for number in range(3):
+            connection.requests[number].answer(200, (), b"%d" % number)
+            await asyncio.sleep(0.02)
+        assert connection.answer.count(b"HTTP/1.1 200") == 3
+        assert not connection.transport.paused and not connection.transport.closed
 
+    run_connection(test, answers=False)
 
-class Connection:
-    """A caller's connection to a site whose time is simulated."""
 
-    def __init__(self) -> None:
-        self.clock = Clock()
-        site = FrontSite(Empty(), reactor=self.clock)
-        site.limits = CallerLimits(
-            header_timeout_s=HEADER_TIMEOUT_S, idle_timeout_s=60.0
-        )
-        self.channel: Any = site.buildProtocol(None)
-        self.transport = Transport()
-        self.channel.makeConnection(self.transport)
+def test_an_offer_of_another_protocol_is_not_taken_up() -> None:
+    async def test(connection: CallerConnection) -> None:
+        offer = b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        await connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n" + offer + WHOLE)
+        assert connection.answer.count(b"HTTP/1.1 200") == 2
+
+    run_connection(test)
 
-    @property
-    def answer(self) -> bytes:
-        return self.transport.value()
 
+def test_an_answer_without_a_length_is_sent_in_chunks() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        (request,) = connection.requests
+        request.start(200, ())
+        await request.write(b"abc")
+        assert not connection.answer.endswith(b"0\r\n\r\n")
+        request.finish()
+        assert connection.answer.endswith(b"\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
 
-@pytest.fixture
-def connection() -> Connection:
-    return Connection()
+    run_connection(test, answers=False)
 
 
-def test_a_header_section_that_does_not_end_is_refused(connection: Connection) -> None:
-    connection.channel.dataReceived(b"GET / HTTP/1.1\r\n")
-    # Whoever sends a little now and then is not idle.
-    for _ in range(9):
-        connection.clock.advance(HEADER_TIMEOUT_S / 10)
-        connection.channel.dataReceived(b"X-Slow: 1\r\n")
-    assert connection.answer == b""
-    connection.clock.advance(HEADER_TIMEOUT_S / 5)
-    assert connection.answer.startswith(b"HTTP/1.1 408 ")
-    assert connection.transport.disconnecting
+def test_an_answer_that_breaks_off_does_not_look_complete() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        (request,) = connection.requests
+        request.start(200, ())
+        await request.write(b"abc")
+        request.abort()
+        assert connection.transport.aborted
+        assert not connection.answer.endswith(b"0\r\n\r\n")
 
+    run_connection(test, answers=False)
 
-def test_half_of_a_first_line_is_refused_too(connection: Connection) -> None:
-    connection.channel.dataReceived(b"GE")
-    connection.clock.advance(HEADER_TIMEOUT_S + 0.1)
-    assert connection.answer.startswith(b"HTTP/1.1 408 ")
 
+def test_a_question_for_the_head_alone_gets_no_body() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert connection.answer.endswith(b"content-length: 2\r\n\r\n")
 
-def test_a_whole_header_section_needs_no_timer(connection: Connection) -> None:
-    connection.channel.dataReceived(WHOLE)
-    connection.clock.advance(HEADER_TIMEOUT_S + 0.1)
-    assert b" 408 " not in connection.answer
+    run_connection(test)
 
 
-def test_a_section_in_two_parts_ends_its_timer(connection: Connection) -> None:
-    connection.channel.dataReceived(WHOLE[:20])
-    connection.clock.advance(HEADER_TIMEOUT_S / 2)
-    connection.channel.dataReceived(WHOLE[20:])
-    connection.clock.advance(HEADER_TIMEOUT_S)
-    assert b" 408 " not in connection.answer
+def test_an_old_caller_gets_the_end_of_the_connection_for_a_length() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"GET / HTTP/1.0\r\n\r\n")
+        (request,) = connection.requests
+        request.start(200, ())
+        await request.write(b"abc")
+        request.finish()
+        assert connection.answer.endswith(b"\r\n\r\nabc")
+        assert connection.transport.closed
 
+    run_connection(test, answers=False)
 
-def test_a_connection_without_a_request_may_stay_idle(connection: Connection) -> None:
-    connection.channel.dataReceived(WHOLE)
-    connection.clock.advance(HEADER_TIMEOUT_S * 5)
-    assert not connection.transport.disconnecting
 
+def test_idle_connections_are_closed_and_busy_ones_counted() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(WHOLE)
+        assert connection.server.close_idle() == 1
+        connection.requests[0].answer(200, (), b"", last=True)
+        assert b"connection: close" in connection.answer
+        assert connection.server.close_idle() == 0
+        assert connection.transport.closed
 
-def test_the_end_of_a_connection_ends_its_timer(connection: Connection) -> None:
-    connection.channel.dataReceived(b"GE")
-    connection.channel.connectionLost()
-    connection.clock.advance(HEADER_TIMEOUT_S + 0.1)
-    assert connection.answer == b""
+    run_connection(test, answers=False)
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -4,22 +4,13 @@
 from typing import Any
 
 import pytest
-from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
-from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
-
-from borageramp_core.routing import CallerLimits
-from borageramp_entry._internal.border.uploads import (
-    MAX_HELD_BYTES,
-    REST_TIMEOUT_S,
-    STREAM_FROM_BYTES,
-    Upload,
-)
-from borageramp_entry._internal.routed.front import FrontSite
+
+from borageramp_entry._internal.border.server import REST_TIMEOUT_S, STREAM_FROM_BYTES
+from borageramp_entry._internal.border.uploads import MAX_HELD_BYTES, Upload
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry._internal.serving.requests import BodyCutError
 from borageramp_entry.routed import BrokenExchangeError, HttpClient
+from tests.lib.connections import CallerConnection, run_connection
 
 PART = b"x" * 16_384
 SMALL = b"y" * 1000
@@ -31,10 +22,10 @@
 
     paused = False
 
-    def pauseProducing(self) -> None:
+    def pause_reading(self) -> None:
         self.paused = True
 
-    def resumeProducing(self) -> None:
+    def resume_reading(self) -> None:
         self.paused = False
 
 
@@ -48,7 +39,7 @@
 
 def test_a_body_is_read_as_it_arrives_and_again_from_its_start() -> None:
     async def test() -> None:
-        upload = Upload(length=4, transport=Pausing())
+        upload = Upload(length=4, connection=Pausing())
         upload.on_data(b"ab")
         assert await upload.read(0) == b"ab"
         reading = asyncio.ensure_future(upload.read(2))
@@ -65,7 +56,7 @@
 def test_a_caller_is_not_read_while_too_much_is_held() -> None:
     async def test() -> None:
         caller = Pausing()
-        upload = Upload(length=None, transport=caller)
+        upload = Upload(length=None, connection=caller)
         while not caller.paused:
             upload.on_data(PART)
         offset = 0
@@ -84,7 +75,7 @@
 
 def test_a_caller_that_leaves_ends_the_reading() -> None:
     async def test() -> None:
-        upload = Upload(length=9, transport=Pausing())
+        upload = Upload(length=9, connection=Pausing())
         reading = asyncio.ensure_future(upload.read(0))
         await asyncio.sleep(0)
         upload.on_cut()
@@ -94,145 +85,114 @@
     run(test)
 
 
-class Transport(StringTransport):
-    aborted = False
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        pass
-
-    def abortConnection(self) -> None:
-        self.aborted = True
-        self.disconnecting = True
-
-
-class Keeping(Resource):
-    """Keeps each request, to be answered by the test."""
-
-    isLeaf = True
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.requests: list[Any] = []
-
-    def render(self, request: Any) -> int:
-        self.requests.append(request)
-        return NOT_DONE_YET
-
-
-class Connection:
-    """A caller's connection to a site whose time is simulated."""
-
-    def __init__(self, *, max_body_bytes: int = 1_000_000) -> None:
-        self.clock = Clock()
-        self.resource = Keeping()
-        site = FrontSite(self.resource, reactor=self.clock)
-        site.limits = CallerLimits(max_body_bytes=max_body_bytes)
-        self.channel: Any = site.buildProtocol(None)
-        self.transport = Transport()
-        self.channel.makeConnection(self.transport)
+def head(length: int) -> bytes:
+    return b"POST /u HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % length
 
-    def send(self, data: bytes) -> None:
-        self.channel.dataReceived(data)
 
-    def send_head(self, length: int) -> None:
-        self.send(b"POST /u HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % length)
+def test_a_small_body_is_held_whole() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(len(SMALL)))
+        await connection.send(SMALL[:500])
+        assert connection.requests == []
+        await connection.send(SMALL[500:])
+        (request,) = connection.requests
+        assert request.upload is None and request.body == SMALL
 
-    def answer(self, number: int, body: bytes) -> None:
-        request = self.resource.requests[number]
-        request.setHeader(b"content-length", b"%d" % len(body))
-        request.write(body)
-        request.finish()
-
-
-@pytest.fixture
-def connection() -> Connection:
-    return Connection()
-
-
-def test_a_small_body_is_held_whole(connection: Connection) -> None:
-    connection.send_head(len(SMALL))
-    connection.send(SMALL[:500])
-    assert connection.resource.requests == []
-    connection.send(SMALL[500:])
-    (request,) = connection.resource.requests
-    assert request.upload is None and request.content.read() == SMALL
+    run_connection(test)
 
 
 @pytest.mark.parametrize("chunked", [False, True])
 def test_a_large_body_is_served_before_all_of_it_is_there(chunked: bool) -> None:
-    connection = Connection()
     body = PART * 8
-    head = b"POST /u HTTP/1.1\r\nHost: a\r\n"
-    if chunked:
-        connection.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
-        parts = [b"%x\r\n%b\r\n" % (len(PART), PART)] * 8
-    else:
-        connection.send(head + b"Content-Length: %d\r\n\r\n" % len(body))
-        parts = [PART] * 8
-    for part in parts[:5]:
-        connection.send(part)
-    (request,) = connection.resource.requests
-    assert request.upload.length == (None if chunked else len(body))
-    assert not request.upload.ended
-    for part in parts[5:]:
-        connection.send(part)
-    if chunked:
-        connection.send(b"0\r\n\r\n")
 
-    async def test() -> None:
+    async def test(connection: CallerConnection) -> None:
+        if chunked:
+            await connection.send(b"POST /u HTTP/1.1\r\nHost: a\r\n")
+            await connection.send(b"Transfer-Encoding: chunked\r\n\r\n")
+            parts = [b"%x\r\n%b\r\n" % (len(PART), PART)] * 8
+        else:
+            await connection.send(head(len(body)))
+            parts = [PART] * 8
+        for part in parts[:5]:
+            await connection.send(part)
+        (request,) = connection.requests
+        assert request.upload is not None
+        assert request.upload.length == (None if chunked else len(body))
+        assert not request.upload.ended
+        for part in parts[5:]:
+            await connection.send(part)
+        if chunked:
+            await connection.send(b"0\r\n\r\n")
         read = b""
         while part := await request.upload.read(len(read)):
             read += part
         assert read == body
+        assert request.upload.ended and len(connection.requests) == 1
 
-    assert request.upload.ended and len(connection.resource.requests) == 1
-    run(test)
+    run_connection(test, answers=False)
 
 
-def test_a_refusal_is_sent_before_the_rest_of_the_body(connection: Connection) -> None:
-    connection.send_head(len(PART) * 8)
-    connection.send(PART * 5)
-    connection.answer(0, b"refused")
-    assert connection.transport.value().endswith(b"refused")
-    # The rest is no request, and what follows it is one.
-    connection.send(PART * 3 + b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
-    assert len(connection.resource.requests) == 2
-    assert connection.resource.requests[1].path == b"/next"
-    connection.clock.advance(REST_TIMEOUT_S * 2)
-    assert not connection.transport.aborted
+def test_a_refusal_is_sent_before_the_rest_of_the_body() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(len(PART) * 8))
+        await connection.send(PART * 5)
+        connection.requests[0].answer(503, (), b"refused")
+        assert connection.answer.endswith(b"refused")
+        # The rest is no request, and what follows it is one.
+        await connection.send(PART * 3 + b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert len(connection.requests) == 2
+        assert connection.requests[1].path == "/next"
+        await asyncio.sleep(REST_TIMEOUT_S * 2)
+        assert not connection.transport.aborted
 
+    run_connection(test, answers=False)
 
-def test_a_rest_that_does_not_come_ends_the_connection(connection: Connection) -> None:
-    connection.send_head(len(PART) * 8)
-    connection.send(PART * 5)
-    connection.answer(0, b"refused")
-    connection.clock.advance(REST_TIMEOUT_S + 0.1)
-    assert connection.transport.aborted
+
+def test_a_rest_that_does_not_come_ends_the_connection() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(len(PART) * 8))
+        await connection.send(PART * 5)
+        connection.requests[0].answer(503, (), b"refused")
+        await asyncio.sleep(REST_TIMEOUT_S + 0.1)
+        assert connection.transport.aborted
+
+    run_connection(test, answers=False)
 
 
 def test_a_body_that_says_it_is_too_large_is_served_at_once() -> None:
-    connection = Connection(max_body_bytes=200_000)
-    connection.send_head(10_000_000)
-    connection.send(PART)
-    (request,) = connection.resource.requests
-    assert request.body_too_large
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(10_000_000))
+        (request,) = connection.requests
+        assert request.body_too_large
+        request.answer(413, (), b"too large")
+        # The caller reads the answer before its connection is reset.
+        assert connection.transport.ended and not connection.transport.aborted
+        await connection.send(PART)
+        await asyncio.sleep(REST_TIMEOUT_S + 0.1)
+        assert connection.transport.aborted
+
+    run_connection(test, answers=False, max_body_bytes=200_000)
 
 
 def test_a_body_that_grows_too_large_ends_its_connection() -> None:
-    connection = Connection(max_body_bytes=200_000)
-    connection.send(b"POST /u HTTP/1.1\r\nHost: a\r\n")
-    connection.send(b"Transfer-Encoding: chunked\r\n\r\n")
-    for _ in range(20):
-        connection.send(b"%x\r\n%b\r\n" % (len(PART), PART))
-    assert connection.transport.aborted
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(b"POST /u HTTP/1.1\r\nHost: a\r\n")
+        await connection.send(b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(20):
+            await connection.send(b"%x\r\n%b\r\n" % (len(PART), PART))
+        assert connection.transport.aborted
+
+    run_connection(test, answers=False, max_body_bytes=200_000)
 
 
 def test_the_largest_body_allowed_is_taken() -> None:
-    connection = Connection(max_body_bytes=STREAM_FROM_BYTES)
-    connection.send_head(STREAM_FROM_BYTES)
-    connection.send(b"x" * STREAM_FROM_BYTES)
-    (request,) = connection.resource.requests
-    assert not request.body_too_large
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(STREAM_FROM_BYTES))
+        await connection.send(b"x" * STREAM_FROM_BYTES)
+        (request,) = connection.requests
+        assert not request.body_too_large
+
+    run_connection(test, max_body_bytes=STREAM_FROM_BYTES)
 
 
 class UploadServer:
@@ -296,7 +256,7 @@
 
     async def test(client: HttpClient, port: int) -> None:
         for _ in range(2):
-            upload = Upload(length=length, transport=Pausing())
+            upload = Upload(length=length, connection=Pausing())
             sending = asyncio.ensure_future(send(client, port, upload))
             for _ in range(7):
                 upload.on_data(PART)
@@ -318,7 +278,7 @@
     server = UploadServer(answer_after_bytes=20_000)
 
     async def test(client: HttpClient, port: int) -> None:
-        upload = Upload(length=8 * len(PART), transport=Pausing())
+        upload = Upload(length=8 * len(PART), connection=Pausing())
         upload.on_data(PART * 2)
         response = await send(client, port, upload)
         assert await response.read() == b"ok"
@@ -339,7 +299,7 @@
     server = UploadServer()
 
     async def test(client: HttpClient, port: int) -> None:
-        upload = Upload(length=8 * len(PART), transport=Pausing())
+        upload = Upload(length=8 * len(PART), connection=Pausing())
         upload.on_data(PART * (9 if end == "long" else 2))
         sending = asyncio.ensure_future(send(client, port, upload))
         await asyncio.sleep(0.05)
