Leave the last slots to requests that can be in time

Cause: each instance has a line of its own, and whoever has only late requests took each free slot at once, so that a new request found none in its 90 ms.

--- a/packages/core/src/borageramp_core/_internal/routing/choice.py
+++ b/packages/core/src/borageramp_core/_internal/routing/choice.py
@@ -22,12 +22,15 @@
         Upstreams that have had it.
     queue_slots : float
         How far it may queue at an upstream, in multiples of its slots.
+    spared_slots : int
+        Slots of an upstream that it leaves to others.
     """
 
     work_s: float
     within_s: float
     excluded: Collection[str] = ()
     queue_slots: float = 1.0
+    spared_slots: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -293,7 +293,8 @@
     def _has_room(self, view: UpstreamView, wanted: Wanted, *, now_s: float) -> bool:
         left = view.load.left(work_s=wanted.work_s, now_s=now_s)
         slots = view.load.slots
-        room = float(self.slowdown.usable_slots(slots))
+        usable = self.slowdown.usable_slots(slots)
+        room = float(max(1, usable - wanted.spared_slots))
         if room == slots:
             room *= 1.0 + wanted.queue_slots
         # A request that may have ended in part has not left its slot.
--- a/packages/core/src/borageramp_core/_internal/routing/slowdown.py
+++ b/packages/core/src/borageramp_core/_internal/routing/slowdown.py
@@ -14,7 +14,7 @@
 # Weight of a new answer in the moving averages.
 WEIGHT = 0.02
 # Answers after which an average counts.
-MIN_ANSWERS = 15
+MIN_ANSWERS = 8
 # Longest time that counts for one answer, in multiples of the usual: a stall
 # says nothing of the others.
 MAX_RATIO = 5.0
--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -30,6 +30,8 @@
 # Largest share of an objective that is kept for the work itself: while answers
 # are slow, the work seems longer than it is.
 LATE_MAX_SHARE = 0.6
+# Slots of each upstream that late requests leave to those that can be in time.
+LATE_SPARED_SLOTS = 1
 # Ranks from this one on give way to the others.
 FIRST_LOW_RANK = 2
 
@@ -111,8 +113,15 @@
         """Return what it accepts now.
 
         While its answer can be in time, a place that probably makes it so.
-        After that, only a slot that nobody uses: a late answer must not make
-        others late.
+        After that, only a slot that nobody uses, and not the last one of an
+        upstream: a late answer must not make others late, and what can be in
+        time may come to any instance in the next moment [1]_.
+
+        References
+        ----------
+        .. [1] P. B. Key, "Optimal control and trunk reservation in loss
+           networks", Probability in the Engineering and Informational Sciences
+           4, 1990.
         """
         in_time_s = self.objective_at_s - now_s
         if now_s <= self.late_from_s and in_time_s > self.work_s:
@@ -129,6 +138,7 @@
             within_s=self.deadline_s - now_s,
             excluded=excluded,
             queue_slots=0.0,
+            spared_slots=LATE_SPARED_SLOTS,
         )
 
 
