Let late requests look for room less often than those that can be in time

Cause: late requests are many, and each of their looks takes from the bound on probes and finds free slots before the few that can be in time.

--- a/packages/core/src/borageramp_core/_internal/routing/waiting.py
+++ b/packages/core/src/borageramp_core/_internal/routing/waiting.py
@@ -109,6 +109,10 @@
         patient_s = PATIENT_SHARE * (self.deadline_s - self.arrived_at_s)
         return max(in_time_s, self.arrived_at_s + patient_s)
 
+    def is_late(self, *, now_s: float) -> bool:
+        """Tell whether its answer will probably be late."""
+        return now_s > self.late_from_s
+
     def wanted(self, *, excluded: frozenset[str], now_s: float) -> Wanted:
         """Return what it accepts now.
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -24,6 +24,9 @@
 PROBE_WAIT_S = 0.02
 # Time after which waiting requests look for room again.
 STEP_S = 0.015
+# Time after which those that will be late look again: many of them would find
+# each free slot before those that can be in time.
+LATE_STEP_S = 0.06
 # More places than this are looked for in one round only if the last was found.
 MISSES_A_ROUND = 2
 
@@ -88,6 +91,7 @@
             WaitingLine()
         )
         self._serving: asyncio.Task[None] | None = None
+        self._late_looked_at_s = float("-inf")
 
     @property
     def waiting(self) -> int:
@@ -119,7 +123,7 @@
     def _is_behind(self, seeker: Seeker) -> bool:
         """Tell whether requests wait that go before this one."""
         now_s = self._clock()
-        if now_s > seeker.patience.late_from_s:
+        if seeker.patience.is_late(now_s=now_s):
             return bool(self._line)
         return self._line.has_before(rank=seeker.rank, now_s=now_s)
 
@@ -152,11 +156,16 @@
 
     async def _round(self) -> None:
         misses = 0
-        for seeker, placed in self._line.take_all(now_s=self._clock()):
+        now_s = self._clock()
+        late_may_look = now_s - self._late_looked_at_s >= LATE_STEP_S
+        for seeker, placed in self._line.take_all(now_s=now_s):
             if placed.done():
                 continue
             chosen = None
-            if misses < MISSES_A_ROUND:
+            is_late = seeker.patience.is_late(now_s=now_s)
+            if misses < MISSES_A_ROUND and (late_may_look or not is_late):
+                if is_late:
+                    self._late_looked_at_s = now_s
                 chosen = await self._find(seeker)
                 misses += chosen is None
             self._settle(seeker, placed, chosen)
