Count repeated tries over the window of their bound

Change: a sliding window in each instance, with more of the bound in use; a try whose upstream was never reached costs nothing.

--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -172,13 +172,14 @@
         self._open: dict[Running, RoutedTry] = {}
         self._excluded: set[str] = set()
         self._runs = 0
+        self._reached = 0
         self._hedge_at_s = float("inf")
         self._verdict = Verdict.NOT_RUN
         self._last = Result.UNREACHABLE
         self._failure: RoutedAnswer | None = None
         self.broken: list[UpstreamView] = []
         self._age_s = self._find_age_s()
-        self._repeats.earn()
+        self._repeats.earn(now_s=parts.clock())
 
     def _find_age_s(self) -> float:
         """Return the time for which the caller has probably waited before."""
@@ -260,6 +261,8 @@
     def _on_failed(self, ended: RoutedTry, result: Result) -> None:
         self._log_end(ended, result)
         self._last = result
+        if result is Result.UNREACHABLE:
+            self._reached -= 1
         if result is Result.DIED:
             self.broken.append(ended.view)
         self._verdict = max(self._verdict, result.verdict, key=_ORDER.index)
@@ -286,12 +289,16 @@
             return False
         if self._left_s < MIN_LEFT_SHARE * self._work.mean_s:
             return False
-        if not self._repeats.spend():
+        spent_at_s = self._parts.clock()
+        # A try whose upstream was never reached is not repeated by another one.
+        repeats = self._reached > 0
+        if repeats and not self._repeats.spend(now_s=spent_at_s):
             return False
         # While another try is under way, this one takes what there is.
         chosen = await self._placer.place(self._seeker(), wait=not self._open)
         if chosen is None:
-            self._repeats.give_back()
+            if repeats:
+                self._repeats.give_back(spent_at_s=spent_at_s)
             return False
         self._start(chosen)
         return True
@@ -337,6 +344,7 @@
         self._excluded.add(view.registration.id)
         self._hedge_at_s = self._parts.clock() + self._work.late_s
         self._runs += 1
+        self._reached += 1
         task = asyncio.ensure_future(started.run(self._caller))
         self._open[task] = started
 
