--- a/packages/core/src/borageramp_core/__init__.pyi
+++ b/packages/core/src/borageramp_core/__init__.pyi
@@ -12,7 +12,7 @@
 )
 from ._internal.attempts import AttemptPlan, GiveUp, Retry
 from ._internal.balancer import Balancer
-from ._internal.budget import RatioBudget, TokenBucket, WindowBudget
+from ._internal.budget import RatioBudget, TokenBucket
 from ._internal.claims import Claim, ClaimState, ClaimTable
 from ._internal.configuration import (
     RevisionState,
@@ -158,7 +158,6 @@
     "UpstreamLoad",
     "UpstreamState",
     "Verdict",
-    "WindowBudget",
     "WarmUp",
     "answer_addresses",
     "confirmed_by_majority",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -158,7 +158,6 @@
             cold=cold,
             on_gone=self._on_upstream_gone,
             rng=self._rng,
-            now_s=self._clock(),
         )
         self._prober = Prober(
             client=self._client,
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -172,14 +172,13 @@
         self._open: dict[Running, RoutedTry] = {}
         self._excluded: set[str] = set()
         self._runs = 0
-        self._reached = 0
         self._hedge_at_s = float("inf")
         self._verdict = Verdict.NOT_RUN
         self._last = Result.UNREACHABLE
         self._failure: RoutedAnswer | None = None
         self.broken: list[UpstreamView] = []
         self._age_s = self._find_age_s()
-        self._repeats.earn(now_s=parts.clock())
+        self._repeats.earn()
 
     def _find_age_s(self) -> float:
         """Return the time for which the caller has probably waited before."""
@@ -261,8 +260,6 @@
     def _on_failed(self, ended: RoutedTry, result: Result) -> None:
         self._log_end(ended, result)
         self._last = result
-        if result is Result.UNREACHABLE:
-            self._reached -= 1
         if result is Result.DIED:
             self.broken.append(ended.view)
         self._verdict = max(self._verdict, result.verdict, key=_ORDER.index)
@@ -289,16 +286,12 @@
             return False
         if self._left_s < MIN_LEFT_SHARE * self._work.mean_s:
             return False
-        spent_at_s = self._parts.clock()
-        # A try whose upstream was never reached is not repeated by another one.
-        repeats = self._reached > 0
-        if repeats and not self._repeats.spend(now_s=spent_at_s):
+        if not self._repeats.spend():
             return False
         # While another try is under way, this one takes what there is.
         chosen = await self._placer.place(self._seeker(), wait=not self._open)
         if chosen is None:
-            if repeats:
-                self._repeats.give_back(spent_at_s=spent_at_s)
+            self._repeats.give_back()
             return False
         self._start(chosen)
         return True
@@ -344,7 +337,6 @@
         self._excluded.add(view.registration.id)
         self._hedge_at_s = self._parts.clock() + self._work.late_s
         self._runs += 1
-        self._reached += 1
         task = asyncio.ensure_future(started.run(self._caller))
         self._open[task] = started
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from borageramp_core import Notice, WindowBudget
+from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
     ColdAllowance,
     DeadlineProfile,
@@ -24,8 +24,8 @@
 
 # Shares of the bounds on repeated tries that are used. The rest covers member
 # lists that differ, and requests that are counted in another window.
-RETRY_RATIO_SHARE = 0.95
-RETRY_SLACK_SHARE = 0.65
+RETRY_RATIO_SHARE = 0.8
+RETRY_SLACK_SHARE = 0.5
 
 
 class Pools:
@@ -45,8 +45,6 @@
         Gets each upstream that is gone or started anew.
     rng : random.Random
         Source of randomness.
-    now_s : float
-        Present time.
     """
 
     def __init__(
@@ -58,10 +56,8 @@
         cold: ColdAllowance,
         on_gone: Callable[[UpstreamView], None],
         rng: random.Random,
-        now_s: float,
     ) -> None:
         self.bounds = bounds
-        self._started_at_s = now_s
         self.cold = cold
         self._member = member
         self._data_centre = data_centre
@@ -69,7 +65,7 @@
         self._rng = rng
         self._entries = 1
         self._pools: dict[str, ServicePool] = {}
-        self._repeats: dict[str, WindowBudget] = {}
+        self._repeats: dict[str, RatioBudget] = {}
         self._work: dict[str, WorkEstimate] = {}
         self._deadlines: defaultdict[str, DeadlineProfile] = defaultdict(
             DeadlineProfile
@@ -119,16 +115,15 @@
             self._pools[service] = pool
         return pool
 
-    def repeats(self, service: str) -> WindowBudget:
+    def repeats(self, service: str) -> RatioBudget:
         """Return this entry's budget of repeated tries at a service."""
         budget = self._repeats.get(service)
         if budget is None:
-            budget = WindowBudget(
-                window_s=self.bounds.retry_window_s, now_s=self._started_at_s
-            )
+            budget = RatioBudget(ratio=0.0, burst=1.0)
             self._repeats[service] = budget
         budget.ratio = self.bounds.retry_ratio * RETRY_RATIO_SHARE
-        budget.slack = self.bounds.retry_slack * RETRY_SLACK_SHARE / self._entries
+        share = self.bounds.retry_slack * RETRY_SLACK_SHARE / self._entries
+        budget.burst = max(1.0, share)
         return budget
 
     def take_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> None:
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -24,9 +24,7 @@
     retry_ratio : float
         Repeated tries, as a share of the requests.
     retry_slack : float
-        Repeated tries beyond that, in each window.
-    retry_window_s : float
-        Length of such a window.
+        Repeated tries beyond that, in the window of the bound.
     probes_hz : float
         Probes of one upstream a second.
     cold_overage : float
@@ -37,7 +35,6 @@
 
     retry_ratio: NotNegative = 0.2
     retry_slack: NotNegative = 20.0
-    retry_window_s: Positive = 10.0
     probes_hz: NotNegative = 20.0
     cold_overage: Annotated[float, Meta(ge=1)] = 1.5
     cold_slack: NotNegative = 5.0
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -97,7 +97,6 @@
         cold=make_cold(),
         on_gone=lambda view: None,
         rng=rng,
-        now_s=float("-inf"),
     )
     pools.apply(world, entries=frozenset({"e0"}), now_s=clock())
     store: Any = None
@@ -148,7 +147,7 @@
         dispatcher = make_dispatcher(client, clock=clock, upstreams=upstreams)
         # Budgets start empty and fill with requests.
         for _ in range(5):
-            dispatcher.pools.repeats("records").earn(now_s=clock())
+            dispatcher.pools.repeats("records").earn()
         # Let the budget of probes fill.
         await asyncio.sleep(0.05)
         caller = CallerRequest(
