--- a/packages/core/src/borageramp_core/_internal/routing/deadlines.py
+++ b/packages/core/src/borageramp_core/_internal/routing/deadlines.py
@@ -5,13 +5,12 @@
 it is shorter than what callers of the route have at first.
 """
 
-import math
 from collections import Counter
 
 __all__ = ["DeadlineProfile"]
 
-# Ratio between the bounds of a class of deadlines.
-STEP = 1.05
+# Deadlines are counted in classes of this width.
+CLASS_S = 0.05
 # Share of the requests whose deadlines count as those of first tries.
 FIRST_SHARE = 0.9
 # Requests after which that is known, and at which old ones begin to be forgotten.
@@ -37,7 +36,7 @@
         if left_s <= 0.0:
             return
         self._longest_s = max(self._longest_s, left_s)
-        self._classes[_class_of(left_s)] += 1
+        self._classes[int(left_s / CLASS_S)] += 1
         self._requests += 1
         if self._requests >= MAX_REQUESTS:
             self._forget()
@@ -49,7 +48,7 @@
             {number: count // 2 for number, count in self._classes.items() if count > 1}
         )
         self._requests = self._classes.total()
-        self._longest_s = STEP ** (max(self._classes) + 1)
+        self._longest_s = (max(self._classes) + 1) * CLASS_S
 
     def _learn(self) -> None:
         counted = 0
@@ -57,9 +56,9 @@
         for number in sorted(self._classes, reverse=True):
             count = self._classes[number]
             counted += count
-            sum_s += count * STEP ** (number + 0.5)
+            sum_s += count * (number + 0.5) * CLASS_S
             if counted >= FIRST_SHARE * self._requests:
-                self._first_s = STEP**number
+                self._first_s = number * CLASS_S
                 self._mean_s = sum_s / counted
                 return
 
@@ -75,7 +74,3 @@
             longest_s = max(self._longest_s, left_s)
             return longest_s - left_s if left_s < PRIOR_SHARE * longest_s else 0.0
         return self._mean_s - left_s if left_s < self._first_s else 0.0
-
-
-def _class_of(left_s: float) -> int:
-    return math.floor(math.log(left_s, STEP))
--- /dev/null
+++ b/packages/core/src/borageramp_core/_internal/routing/expected.py
@@ -0,0 +1,44 @@
+"""How long the answers of upstreams are expected to take."""
+
+from collections.abc import Callable, Collection
+
+from borageramp_core._internal.routing.choice import Wanted
+from borageramp_core._internal.routing.slowdown import SlowdownProfile
+from borageramp_core._internal.routing.state import UpstreamView
+
+__all__ = ["expectations"]
+
+
+def expectations(
+    views: Collection[UpstreamView],
+    wanted: Wanted,
+    *,
+    slowdown: SlowdownProfile,
+    now_s: float,
+) -> Callable[[UpstreamView], float]:
+    """Return the expected time to an answer in seconds, by upstream.
+
+    Parameters
+    ----------
+    views : collection of UpstreamView
+        Upstreams that are compared; what is not known of one is taken to be as
+        with the others.
+    wanted : Wanted
+        The request.
+    slowdown : SlowdownProfile
+        What upstreams lose when they are busy or cold.
+    now_s : float
+        Present time.
+    """
+    number = max(1, len(views))
+    usual_pace = sum(v.pace for v in views) / number
+    usual_others = sum(v.load.others for v in views) / number
+
+    def expected_s(view: UpstreamView) -> float:
+        pace = view.expected_pace(usual=usual_pace, now_s=now_s)
+        requests = view.load.estimate(usual_others=usual_others, now_s=now_s) + 1.0
+        slots = view.load.slots
+        factor = slowdown.factor(requests, slots=slots, cold=view.is_cold(now_s=now_s))
+        return wanted.work_s * pace * factor * max(1.0, requests / slots)
+
+    return expected_s
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -6,17 +6,23 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 
-from borageramp_core._internal.load import UpstreamLoad
 from borageramp_core._internal.messages import LoadReport, Notice, Result
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.routing.choice import Chosen, Wanted
 from borageramp_core._internal.routing.cold import ColdAllowance
+from borageramp_core._internal.routing.expected import expectations
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
-from borageramp_core._internal.routing.state import Busy, UpstreamView, upstream_of
+from borageramp_core._internal.routing.state import (
+    Busy,
+    Start,
+    UpstreamView,
+    new_view,
+    start_of,
+)
 from borageramp_core._internal.routing.work import WorkEstimate
 
 __all__ = ["ServicePool"]
@@ -50,8 +56,6 @@
 
 
 _ANY_REQUEST = Wanted(work_s=0.0, within_s=0.0)
-# Identifier, address and start of an upstream's process.
-_Start = tuple[str, str, int]
 
 
 class ServicePool:
@@ -89,7 +93,7 @@
         self._cold = cold
         self._rng = rng
         self._out: Collection[str] = ()
-        self._left_at_s: dict[_Start, float] = {}
+        self._left_at_s: dict[Start, float] = {}
 
     def apply(
         self,
@@ -112,9 +116,9 @@
         self.views = {}
         for registration in registrations:
             known = before.get(registration.id)
-            if known is None or not _same_start(known.registration, registration):
-                known = _new_view(registration, now_s=now_s)
-                known.leaving = _start_of(registration) in self._left_at_s
+            if known is None or start_of(known.registration) != start_of(registration):
+                known = new_view(registration, now_s=now_s)
+                known.leaving = start_of(registration) in self._left_at_s
             known.registration = registration
             known.ramp_hz = ramp_hz
             self.views[registration.id] = known
@@ -207,7 +211,7 @@
         ]
         if len(usable) <= count:
             return usable
-        expected = self._expectations(usable, wanted, now_s=now_s)
+        expected = expectations(usable, wanted, slowdown=self.slowdown, now_s=now_s)
         spread = {
             v.registration.id: self._penalty(v)
             * expected(v)
@@ -243,7 +247,7 @@
         usable = self.usable(wanted, now_s=now_s)
         fresh = [v for v in usable if v.report_age_s(now_s=now_s) <= FRESH_S]
         compared = fresh or ([] if fresh_only else usable)
-        expected = self._expectations(compared, wanted, now_s=now_s)
+        expected = expectations(compared, wanted, slowdown=self.slowdown, now_s=now_s)
         costs = [
             (
                 self._penalty(view)
@@ -300,27 +304,6 @@
         # A request that may have ended in part has not left its slot.
         return -(-left // 1.0) < room
 
-    def _expectations(
-        self, views: Collection[UpstreamView], wanted: Wanted, *, now_s: float
-    ) -> Callable[[UpstreamView], float]:
-        """Return the expected time to an answer, by upstream."""
-        number = max(1, len(views))
-        usual_pace = sum(v.pace for v in views) / number
-        usual_others = sum(v.load.others for v in views) / number
-
-        def expected_s(view: UpstreamView) -> float:
-            pace = view.expected_pace(usual=usual_pace, now_s=now_s)
-            requests = view.load.estimate(usual_others=usual_others, now_s=now_s)
-            slowdown = self.slowdown.factor(
-                requests + 1.0,
-                slots=view.load.slots,
-                cold=view.is_cold(now_s=now_s),
-            )
-            filled = (requests + 1.0) / view.load.slots
-            return wanted.work_s * pace * slowdown * max(1.0, filled)
-
-        return expected_s
-
     def _crowding(self, view: UpstreamView, *, now_s: float) -> float:
         """Return how much an upstream stands back for being nearly full."""
         requests = view.load.estimate(usual_others=0.0, now_s=now_s)
@@ -403,24 +386,5 @@
         before = (view.leaving, view.is_paused(now_s=now_s))
         view.on_notice(notice, now_s=now_s)
         if notice.leaving:
-            self._left_at_s[_start_of(view.registration)] = now_s
+            self._left_at_s[start_of(view.registration)] = now_s
         return before != (view.leaving, view.is_paused(now_s=now_s))
-
-
-def _start_of(registration: Registration) -> _Start:
-    place = f"{registration.host}:{registration.port}"
-    return (registration.id, place, registration.started_ms)
-
-
-def _same_start(known: Registration, new: Registration) -> bool:
-    return _start_of(known) == _start_of(new)
-
-
-def _new_view(registration: Registration, *, now_s: float) -> UpstreamView:
-    upstream = upstream_of(registration)
-    return UpstreamView(
-        registration=registration,
-        upstream=upstream,
-        load=UpstreamLoad(slots=upstream.slots),
-        cold_until_s=now_s + registration.warmup_left_s,
-    )
--- a/packages/core/src/borageramp_core/_internal/routing/state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/state.py
@@ -7,7 +7,7 @@
 from borageramp_core._internal.model import Upstream
 from borageramp_core._internal.routing.model import Registration
 
-__all__ = ["Busy", "UpstreamView", "upstream_of"]
+__all__ = ["Busy", "Start", "UpstreamView", "new_view", "start_of"]
 
 # The pace of an upstream shifts many times a second; an old one says little.
 PACE_HALF_LIFE_S = 0.25
@@ -19,8 +19,17 @@
 # take it out of use for good.
 MAX_PAUSE_S = 300.0
 
+# Identifier, address and start of an upstream's process.
+Start = tuple[str, str, int]
 
-def upstream_of(registration: Registration) -> Upstream:
+
+def start_of(registration: Registration) -> Start:
+    """Return what tells one start of an upstream from another."""
+    place = f"{registration.host}:{registration.port}"
+    return (registration.id, place, registration.started_ms)
+
+
+def _upstream_of(registration: Registration) -> Upstream:
     """Return the upstream that a registration names."""
     return Upstream(
         name=registration.id,
@@ -151,3 +160,14 @@
     def is_paused(self, *, now_s: float) -> bool:
         """Tell whether it asked to get nothing now."""
         return now_s < self.paused_until_s
+
+
+def new_view(registration: Registration, *, now_s: float) -> UpstreamView:
+    """Return what is known of an upstream that has just registered."""
+    upstream = _upstream_of(registration)
+    return UpstreamView(
+        registration=registration,
+        upstream=upstream,
+        load=UpstreamLoad(slots=upstream.slots),
+        cold_until_s=now_s + registration.warmup_left_s,
+    )
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -0,0 +1,394 @@
+"""One connection of a caller: its requests, read and served in turn."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, Protocol, cast
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from borageramp_core.routing import CallerLimits
+from borageramp_entry._internal.border.http_request import (
+    HttpRequest,
+    encode_head,
+    head_fault,
+)
+from borageramp_entry._internal.border.uploads import Upload
+from borageramp_entry._internal.logs import get_logger
+
+__all__ = ["Connection", "HttpHandler"]
+
+_log = get_logger(__name__)
+
+# Larger bodies are passed on as they arrive; smaller ones are held whole, and
+# can be sent again.
+STREAM_FROM_BYTES = 65_536
+# Time for the rest of a body whose request has its answer already, so that the
+# caller reads that answer before the connection ends.
+REST_TIMEOUT_S = 2.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class HttpHandler(Protocol):
+    """Serves requests."""
+
+    async def serve(self, request: HttpRequest) -> None:
+        """Serve a request; cancelled when its caller leaves."""
+
+    def body_timeout_s(self, request: HttpRequest) -> float:
+        """Return the time for the body of a request to arrive."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection: reads requests, and has them served one by one.
+
+    Parameters
+    ----------
+    handler : HttpHandler
+        Serves them.
+    limits : callable
+        Returns the limits of now.
+    """
+
+    def __init__(
+        self, handler: HttpHandler, *, limits: Callable[[], CallerLimits]
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = HttpRequestParser(self)
+        self._target = b""
+        self._headers: list[tuple[str, bytes]] = []
+        self._head_bytes = 0
+        self._in_head = False
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        # The request that arrives, those that wait, and the one that is served.
+        self._arriving: HttpRequest | None = None
+        self._waiting: deque[HttpRequest] = deque()
+        self._served: HttpRequest | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._idle_since_s = self._loop.time()
+        self._pauses: set[str] = set()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._refused = False
+        self._ending = False
+
+    # The socket.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._check_idle()
+
+    def data_received(self, data: bytes) -> None:
+        if self._ending or self._refused:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        self._feed(data)
+        if self._ending:
+            return
+        if self._in_head:
+            if self._head_bytes > self._limits().max_header_bytes:
+                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+                return
+            header_timeout_s = self._limits().header_timeout_s
+            self._set_timer("head", header_timeout_s, self._on_late_head)
+        if self._waiting:
+            self._pause("waiting")
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade as upgrade:
+            # No other protocol is spoken here, which a server need not say.
+            self._parser = HttpRequestParser(self)
+            rest = data[upgrade.args[0] :]
+            if rest and not self._ending:
+                self._feed(rest)
+        except HttpParserError:
+            if not self._ending:
+                self._refuse(HTTPStatus.BAD_REQUEST)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._ending = True
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+        self._writable.set()
+        for request in (self._arriving, self._served):
+            if request is not None and request.upload is not None:
+                request.upload.on_cut()
+        self._waiting.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    async def drained(self) -> None:
+        """Wait until the caller has read most of what was sent."""
+        await self._writable.wait()
+
+    def write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        self._ending = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> bool:
+        """Close the connection unless it has a request; tell whether it has."""
+        if self._ending:
+            return False
+        if self._served is not None or self._waiting or self._arriving is not None:
+            return True
+        if self._in_head:
+            return True
+        if self._transport is not None:
+            self._ending = True
+            self._transport.close()
+        return False
+
+    def _pause(self, reason: str) -> None:
+        if not self._pauses and self._transport is not None:
+            self._transport.pause_reading()
+        self._pauses.add(reason)
+
+    def _resume(self, reason: str) -> None:
+        if reason not in self._pauses:
+            return
+        self._pauses.discard(reason)
+        if (
+            not self._pauses
+            and self._transport is not None
+            and not self._transport.is_closing()
+        ):
+            self._transport.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Stop reading while an upload holds enough."""
+        self._pause("upload")
+
+    def resume_reading(self) -> None:
+        """Read on once it has room."""
+        self._resume("upload")
+
+    # Times.
+
+    def _set_timer(self, name: str, after_s: float, act: Callable[[], None]) -> None:
+        if name not in self._timers:
+            self._timers[name] = self._loop.call_later(after_s, act)
+
+    def _stop_timer(self, name: str) -> None:
+        timer = self._timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _check_idle(self) -> None:
+        """Close a connection that was idle for long; look again otherwise."""
+        self._timers.pop("idle", None)
+        idle_timeout_s = self._limits().idle_timeout_s
+        busy = self._served is not None or self._arriving is not None or self._in_head
+        left_s = idle_timeout_s
+        if not busy:
+            left_s -= self._loop.time() - self._idle_since_s
+        if left_s > 0:
+            self._set_timer("idle", left_s, self._check_idle)
+        else:
+            self.close_if_idle()
+
+    def _on_late_head(self) -> None:
+        self._timers.pop("head", None)
+        self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+
+    def _on_late_body(self) -> None:
+        self._timers.pop("body", None)
+        request = self._arriving
+        if request is not None and request.upload is None:
+            request.body_late = True
+            request.keep_alive = False
+            self._take(request)
+
+    # The parser.
+
+    def on_message_begin(self) -> None:
+        self._in_head = True
+        self._head_bytes = 0
+        self._target = b""
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, part: bytes) -> None:
+        self._target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.decode("latin-1").lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._stop_timer("head")
+        if self._refused or self._ending:
+            return
+        request = HttpRequest(
+            self,
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+        )
+        request.headers = tuple(self._headers)
+        request.keep_alive = self._parser.should_keep_alive()
+        request.old_version = self._parser.get_http_version() == "1.0"
+        status = head_fault(
+            request,
+            max_bytes=self._limits().max_header_bytes,
+            upgrade=self._parser.should_upgrade(),
+        )
+        if status is not None:
+            self._refuse(status)
+            return
+        self._arriving = request
+        length = request.header("content-length")
+        expected = request.header("transfer-encoding") is not None
+        if length is not None and int(length) > 0:
+            expected = True
+            request.body_too_large = int(length) > self._limits().max_body_bytes
+        if request.body_too_large:
+            request.keep_alive = False
+            self._take(request)
+        elif expected:
+            if (request.header("expect") or b"").lower() == b"100-continue":
+                self.write(CONTINUE)
+            timeout_s = self._handler.body_timeout_s(request)
+            self._set_timer("body", timeout_s, self._on_late_body)
+
+    def on_body(self, data: bytes) -> None:
+        request = self._arriving
+        if request is None or self._ending:
+            return
+        self._body_bytes += len(data)
+        over = self._body_bytes > self._limits().max_body_bytes
+        if request.upload is not None:
+            if over:
+                # Its answer can't be changed any more.
+                self.abort()
+            else:
+                request.upload.on_data(data)
+        elif request.body_late or request.body_too_large:
+            return
+        elif over:
+            request.body_too_large = True
+            request.keep_alive = False
+            self._take(request)
+        else:
+            self._body.append(data)
+            if self._body_bytes > STREAM_FROM_BYTES:
+                self._stream(request)
+
+    def _stream(self, request: HttpRequest) -> None:
+        """Have a request served before all of its body is there."""
+        length = request.header("content-length")
+        request.upload = Upload(
+            length=int(length) if length is not None else None, connection=self
+        )
+        request.body = b"".join(self._body)
+        request.upload.on_data(request.body)
+        self._take(request)
+
+    def on_message_complete(self) -> None:
+        request, self._arriving = self._arriving, None
+        self._stop_timer("body")
+        if request is None or self._ending:
+            return
+        request.received = True
+        if request.upload is not None:
+            request.upload.on_end()
+            if request.finished and self._served is request:
+                self._next()
+        elif not request.body_late and not request.body_too_large:
+            request.body = b"".join(self._body)
+            self._take(request)
+
+    # Serving.
+
+    def _take(self, request: HttpRequest) -> None:
+        """Have a request served, after those before it."""
+        self._stop_timer("body")
+        if self._served is not None:
+            self._waiting.append(request)
+            return
+        self._served = request
+        self._task = asyncio.ensure_future(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        try:
+            await self._handler.serve(request)
+        except Exception as error:
+            _log.error("request failed", path=request.path, exc_info=error)
+        if not request.finished:
+            self.abort()
+
+    def on_finished(self, request: HttpRequest) -> None:
+        """Take in that the answer to the request is whole."""
+        if request is not self._served or self._ending:
+            return
+        if not request.keep_alive:
+            self._end()
+        elif request.received:
+            self._next()
+        elif request.upload is not None:
+            request.upload.drop_rest()
+            self._set_timer("rest", REST_TIMEOUT_S, self.abort)
+
+    def _next(self) -> None:
+        """Go on with the next request of the connection."""
+        self._stop_timer("rest")
+        self._served = None
+        self._task = None
+        self._idle_since_s = self._loop.time()
+        if self._waiting:
+            self._take(self._waiting.popleft())
+        if not self._waiting:
+            self._resume("waiting")
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Refuse what is no request, and end the connection."""
+        self._refused = True
+        if self._served is None:
+            head = encode_head(
+                status, (("content-length", b"0"), ("connection", b"close"))
+            )
+            self.write(head)
+        # What others that came before it are due is not ended by it.
+        if self._served is None or self._served.finished:
+            self._end()
+        else:
+            self._served.keep_alive = False
+            self._waiting.clear()
+            self._pause("refused")
+
+    def _end(self) -> None:
+        """Close the connection, once the caller has read what it was sent.
+
+        Closing it with unread bytes would take away the answer too.
+        """
+        self._ending = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._arriving is None and not self._in_head:
+            self._transport.close()
+            return
+        if self._arriving is not None and self._arriving.upload is not None:
+            self._arriving.upload.drop_rest()
+        self._pauses.clear()
+        self._transport.write_eof()
+        self._set_timer("rest", REST_TIMEOUT_S, self._transport.abort)
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/border/http_request.py
@@ -0,0 +1,178 @@
+"""A request on a callers' connection, and its answer."""
+
+from http import HTTPStatus
+from typing import Protocol
+
+from borageramp_entry._internal.border.uploads import Upload
+from borageramp_entry._internal.serving.requests import Headers
+
+__all__ = ["AnswerChannel", "HttpRequest", "encode_head", "head_fault"]
+
+# Statuses whose answers have no body.
+BODILESS = (204, 304)
+# Headers that must not be there twice: with two, nobody knows which one counts.
+SINGLE = ("host", "content-length", "transfer-encoding")
+# Bytes of a header beside its name and value.
+HEADER_FRAMING_BYTES = 4
+
+
+class AnswerChannel(Protocol):
+    """Where an answer is written."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+
+    async def drained(self) -> None:
+        """Wait until the caller has read most of what was sent."""
+
+    def on_finished(self, request: "HttpRequest") -> None:
+        """Take in that the answer to a request is whole."""
+
+    def abort(self) -> None:
+        """End the connection at once."""
+
+
+class HttpRequest:
+    """A request of one connection, and its answer.
+
+    Attributes
+    ----------
+    method, target, path : str
+        Method, target as sent, and its part before the query.
+    headers : tuple of (str, bytes)
+        Headers, with their names in lower case.
+    body : bytes
+        The body; its first part if there is an ``upload``.
+    upload : Upload or None
+        The whole body while it arrives, if it is large.
+    body_too_large : bool
+        Whether it is, or says that it will be, over its limit.
+    body_late : bool
+        Whether the body did not come in the time for it.
+    """
+
+    def __init__(self, channel: AnswerChannel, *, method: str, target: str) -> None:
+        self.method = method
+        self.target = target
+        self.path = target.partition("?")[0]
+        self.headers: Headers = ()
+        self.body = b""
+        self.upload: Upload | None = None
+        self.body_too_large = False
+        self.body_late = False
+        self.keep_alive = True
+        self.old_version = False
+        self.received = False
+        self.started = False
+        self.finished = False
+        self._chunked = False
+        self._bodiless = method == "HEAD"
+        self._channel = channel
+
+    def header(self, name: str) -> bytes | None:
+        """Return the first header of a name, given in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    def start(self, status: int, headers: Headers, *, last: bool = False) -> None:
+        """Send the head of the answer.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : tuple of (str, bytes)
+            Headers; without a length, the body's end is marked otherwise.
+        last : bool
+            Whether the connection ends after it.
+        """
+        self.started = True
+        self.keep_alive &= not last
+        self._bodiless |= status in BODILESS
+        extra: list[tuple[str, bytes]] = []
+        if not self._bodiless and all(name != "content-length" for name, _ in headers):
+            # Without chunks, the end of the connection is that of the body.
+            self._chunked = not self.old_version
+            self.keep_alive &= self._chunked
+            if self._chunked:
+                extra.append(("transfer-encoding", b"chunked"))
+        if not self.keep_alive:
+            extra.append(("connection", b"close"))
+        elif self.old_version:
+            extra.append(("connection", b"keep-alive"))
+        self._channel.write(encode_head(status, (*headers, *extra)))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the caller is slow."""
+        if data and not self._bodiless:
+            framed = b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
+            self._channel.write(framed)
+            await self._channel.drained()
+
+    def answer(
+        self, status: int, headers: Headers, body: bytes, *, last: bool = False
+    ) -> None:
+        """Send a whole answer."""
+        length = ("content-length", b"%d" % len(body))
+        kept = tuple(h for h in headers if h[0] != "content-length")
+        self.start(status, (*kept, length), last=last)
+        if not self._bodiless:
+            self._channel.write(body)
+        self.finish()
+
+    def finish(self) -> None:
+        """End a whole answer."""
+        if self._chunked:
+            self._channel.write(b"0\r\n\r\n")
+        self.finished = True
+        self._channel.on_finished(self)
+
+    def abort(self) -> None:
+        """End an answer that was cut short, so that the caller notices."""
+        self._channel.abort()
+
+
+def encode_head(status: int, headers: Headers) -> bytes:
+    """Return the head of an answer."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = ""
+    lines = [f"HTTP/1.1 {int(status)} {phrase}".encode("latin-1")]
+    lines += [name.encode("latin-1") + b": " + value for name, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def head_fault(
+    request: HttpRequest, *, max_bytes: int, upgrade: bool
+) -> HTTPStatus | None:
+    """Return the status for a head that can't be served; ``None`` for others.
+
+    What is ambiguous about a request's length or host is refused, as another
+    server might read it in another way.
+
+    Parameters
+    ----------
+    request : HttpRequest
+        The request.
+    max_bytes : int
+        Largest header section.
+    upgrade : bool
+        Whether the caller offers to speak another protocol.
+    """
+    head_bytes = len(request.target) + sum(
+        len(name) + len(value) + HEADER_FRAMING_BYTES for name, value in request.headers
+    )
+    if head_bytes > max_bytes:
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    names = [name for name, _ in request.headers]
+    encoding = request.header("transfer-encoding")
+    framed = encoding is not None or "content-length" in names
+    ambiguous = (
+        any(names.count(name) > 1 for name in SINGLE)
+        or ("host" not in names and not request.old_version)
+        or (encoding is not None and encoding.strip().lower() != b"chunked")
+        or (encoding is not None and "content-length" in names)
+        # The parser would take the body for bytes of the other protocol.
+        or (framed and upgrade)
+    )
+    return HTTPStatus.BAD_REQUEST if ambiguous else None
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from borageramp_core import (
     Reason,
@@ -15,7 +14,6 @@
 from borageramp_core.routing import (
     Chosen,
     Patience,
-    Route,
     UpstreamView,
     retry_after_s,
 )
@@ -24,11 +22,12 @@
 from borageramp_entry._internal.routed.placing import Placer, Seeker
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.routed.tries import RoutedAnswer, RoutedTry
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
 
-__all__ = ["RoutedDispatcher", "RoutedRequest"]
+__all__ = ["RoutedDispatcher"]
 
 _log = get_logger(__name__)
 
@@ -44,29 +43,6 @@
 _ORDER = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RoutedRequest:
-    """A request with the route that it takes.
-
-    Attributes
-    ----------
-    caller : CallerRequest
-        The request; its deadline is the earlier of the caller's and the
-        route's.
-    route : Route
-        The route.
-    arrived_at_s : float
-        Time of its arrival.
-    patience_s : float or None
-        Time for which the caller waits from then on; ``None`` if it didn't say.
-    """
-
-    caller: CallerRequest
-    route: Route
-    arrived_at_s: float
-    patience_s: float | None = None
-
-
 class RoutedDispatcher:
     """Dispatches routed requests to upstreams.
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/front.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/front.py
@@ -9,8 +9,9 @@
 from borageramp_core.routing import Route, World, choose_service
 from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
+from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.ports import CallerDialect
+from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.routed.tries import RoutedAnswer
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import TryFailedError
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -11,9 +11,10 @@
 from borageramp_core import Notice, Reason, RefusedError, Result, Verdict
 from borageramp_core.routing import World
 from borageramp_entry._internal.routed.crashes import CrashWatch, make_suspects
-from borageramp_entry._internal.routed.dispatch import RoutedDispatcher, RoutedRequest
+from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.pools import Pools
 from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.serving.http_connection import HttpConnection
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry._internal.serving.upstreams import (
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from borageramp_entry._internal.border.server import REST_TIMEOUT_S, STREAM_FROM_BYTES
+from borageramp_entry._internal.border.connection import (
+    REST_TIMEOUT_S,
+    STREAM_FROM_BYTES,
+)
 from borageramp_entry._internal.border.uploads import MAX_HELD_BYTES, Upload
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry._internal.serving.requests import BodyCutError
