Have callers that came back wait in line while others find no place

Cause: in the overload each refused caller that comes back asks seven upstreams on arrival; 100 of them a second take half of what probes may use, and whatever slot they find is missing to requests that can be in time.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -50,6 +50,8 @@
 OWN_REQUEST_FACTOR = 0.5
 # Largest share of a service's upstreams that may be ejected at once.
 EJECT_MAX_SHARE = 0.5
+# Time for which a service counts as full once a request found no place.
+FULL_S = 0.5
 # How long it is kept that a start of an upstream said it was leaving: its entry
 # in the store may lapse and return while it serves on.
 LEAVING_KEPT_S = 600.0
@@ -94,6 +96,7 @@
         self._rng = rng
         self._out: Collection[str] = ()
         self._left_at_s: dict[Start, float] = {}
+        self._full_until_s = float("-inf")
 
     def apply(
         self,
@@ -138,6 +141,14 @@
             return False
         return view.registration.id not in wanted.excluded
 
+    def on_no_room(self, *, now_s: float) -> None:
+        """Take in that a request that could be in time found no place."""
+        self._full_until_s = now_s + FULL_S
+
+    def is_full(self, *, now_s: float) -> bool:
+        """Tell whether such requests have found no place lately."""
+        return now_s < self._full_until_s
+
     def can_serve(self, wanted: Wanted, *, now_s: float) -> bool:
         """Tell whether any upstream may take a request, now or in time."""
         until_s = now_s + wanted.within_s
--- a/packages/entry/src/borageramp_entry/_internal/routed/placing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placing.py
@@ -124,7 +124,7 @@
         """Tell whether requests wait that go before this one."""
         now_s = self._clock()
         if seeker.patience.is_late(now_s=now_s):
-            return bool(self._line)
+            return bool(self._line) or self.pool.is_full(now_s=now_s)
         return self._line.has_before(rank=seeker.rank, now_s=now_s)
 
     async def _wait(self, seeker: Seeker) -> Chosen | None:
@@ -194,6 +194,9 @@
         if chosen is None and wider:
             await self._look(seeker, count=PROBES[-1])
             chosen = self._choose(seeker)
+        now_s = self._clock()
+        if chosen is None and not seeker.patience.is_late(now_s=now_s):
+            self.pool.on_no_room(now_s=now_s)
         return chosen
 
     async def _look(self, seeker: Seeker, *, count: int) -> bool:
