--- a/packages/cli/src/borageramp_cli/_internal/commands/explain.py
+++ b/packages/cli/src/borageramp_cli/_internal/commands/explain.py
@@ -1,23 +1,27 @@
-"""``borageramp explain``: why a request went where it went."""
+"""``borageramp explain``: why a request went where it went, and where time goes."""
 
 from pathlib import Path
 
 from borageramp_cli._internal.client import CommandError, OperatorClient, OutputFormat
 from borageramp_cli._internal.exits import Exit
 from borageramp_cli._internal.logstory import read_logs, tell
-from borageramp_cli._internal.output import print_json
+from borageramp_cli._internal.logwindows import HEADER, WindowReader, rows
+from borageramp_cli._internal.output import print_json, print_table
+from borageramp_cli._internal.windowplot import plot_windows
 
 __all__ = ["explain"]
 
 
 def explain(
-    request_id: str,
-    *,
+    *request_id: str,
     entry: str = "",
     log: list[Path] | None = None,
+    windows: float = 0.0,
+    most: int = 10,
+    plot: Path | None = None,
     format: OutputFormat = OutputFormat.text,
 ) -> int:
-    """Tell what was decided on a request, by all entries.
+    """Tell what was decided on a request, or in which windows time was lost.
 
     Parameters
     ----------
@@ -27,9 +31,49 @@
         Operator addresses, separated by commas.
     log
         Log files to read in place of asking entries.
+    windows
+        Length in seconds of windows to compare, from the logs of all entries.
+    most
+        Windows to print, the worst first; 0 for all.
+    plot
+        File for a picture of all windows.
     format
         How to print the result.
     """
+    if windows > 0:
+        return _explain_windows(windows, log or [], most, plot, format)
+    if len(request_id) != 1:
+        raise CommandError("give the identifier of one request", Exit.INVALID)
+    return _explain_request(request_id[0], entry, log, format)
+
+
+def _explain_windows(
+    window_s: float,
+    files: list[Path],
+    most: int,
+    plot: Path | None,
+    format: OutputFormat,
+) -> int:
+    try:
+        windows = WindowReader(window_s=window_s).read(files)
+    except OSError as error:
+        problem = f"{error.filename}: {error.strerror}"
+        raise CommandError(problem, Exit.INVALID) from None
+    if not windows:
+        raise CommandError("no request ended in these logs", Exit.NOT_FOUND)
+    if plot is not None:
+        plot_windows(windows, plot, window_s=window_s)
+    worst = windows[:most] if most > 0 else windows
+    if format is OutputFormat.json:
+        print_json([dict(zip(HEADER, row, strict=True)) for row in rows(worst)])
+    else:
+        print_table(HEADER, list(rows(worst)))
+    return Exit.OK
+
+
+def _explain_request(
+    request_id: str, entry: str, log: list[Path] | None, format: OutputFormat
+) -> int:
     if log:
         return _explain_from_logs(request_id, log, format)
     reply = OperatorClient(entry).get(f"/v1/explain/{request_id}")
