--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -21,13 +21,14 @@
 from borageramp_core._internal.routing.relays import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
-from borageramp_core._internal.routing.state import UpstreamView
+from borageramp_core._internal.routing.state import Busy, UpstreamView
 from borageramp_core._internal.routing.table import RouteTable, choose_service
 from borageramp_core._internal.routing.waiting import Patience, WaitingLine
 from borageramp_core._internal.routing.work import WorkEstimate
 from borageramp_core._internal.routing.world import World
 
 __all__ = [
+    "Busy",
     "CallerLimits",
     "Chosen",
     "ColdAllowance",
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -13,6 +13,8 @@
 
 from borageramp_core import LoadReport, Result
 from borageramp_core.routing import (
+    Busy,
+    DeadlineProfile,
     Patience,
     Route,
     ServicePool,
@@ -26,6 +28,9 @@
 PROBES = (3, 4)
 PROBE_S = 0.002
 STEP_S = 0.015
+LATE_STEP_S = 0.06
+# A refused caller comes back after this long, as often as it may.
+RETURN_S = (0.1, 0.2)
 # A report of this age is not asked for again.
 RECENT_S = 0.004
 SPREAD = 0.3
@@ -87,15 +92,28 @@
     work: WorkEstimate
     line: WaitingLine["_Request"] = field(default_factory=WaitingLine)
     steps: bool = False
+    deadlines: DeadlineProfile = field(default_factory=DeadlineProfile)
+    late_looked_at_s: float = float("-inf")
+
+
+@dataclass(kw_only=True)
+class _Caller:
+    """A caller, who comes back when it is refused."""
+
+    first_at_s: float
+    deadline_s: float
+    returns_left: int
 
 
 @dataclass(kw_only=True)
 class _Request:
     entry: _Entry
     patience: Patience
+    caller: "_Caller"
     upstream: str = ""
     sent_at_s: float = 0.0
     pace: float = 1.0
+    busy: Busy | None = None
 
 
 class Overload:
@@ -119,6 +137,10 @@
         Seed of all randomness.
     slow_share : float
         Share of the upstreams that are slow at any moment, others each time.
+    returns : int
+        How often refused callers come back.
+    calm_s : float
+        Time before the burst, with a third of its rate.
     """
 
     def __init__(
@@ -134,7 +156,11 @@
         seed: int,
         full_factor: float = 1.3,
         slow_share: float = 0.0,
+        returns: int = 0,
+        calm_s: float = 0.0,
     ) -> None:
+        self._returns = returns
+        self._calm_s = calm_s
         self._seed = seed
         self._slow_share = slow_share
         self._full_factor = full_factor
@@ -170,11 +196,13 @@
 
     def _arrivals(self, *, rate_hz: float, length_s: float) -> None:
         time_s = 0.0
-        while time_s < length_s + 2.0:
+        ends_s = self._calm_s + length_s
+        while time_s < ends_s + 2.0:
+            share = 1.0 / 3.0 if time_s < self._calm_s else 1.0
             time_s += self._rng.expovariate(
-                rate_hz if time_s < length_s else rate_hz / 2
+                share * rate_hz if time_s < ends_s else rate_hz / 2
             )
-            self._at(time_s, self._arrive)
+            self._at(time_s, self._arrive_first)
 
     def run(self) -> Tally:
         """Run until all requests have ended."""
@@ -183,21 +211,42 @@
             act()
         return self._tally
 
-    def _arrive(self) -> None:
+    def _arrive_first(self) -> None:
+        # Callers differ somewhat in how long they wait.
+        patience_s = self._route.timeout_s * (1.0 - 0.15 * self._rng.random())
+        self._arrive(
+            _Caller(
+                first_at_s=self._now_s,
+                deadline_s=self._now_s + patience_s,
+                returns_left=self._returns,
+            )
+        )
+
+    def _arrive(self, caller: _Caller) -> None:
         entry = self._rng.choice(self._entries)
+        left_s = caller.deadline_s - self._now_s
+        if not entry.line:
+            entry.deadlines.on_request(left_s)
         patience = Patience.of(
             self._route,
             work=entry.work,
             arrived_at_s=self._now_s,
-            deadline_s=self._now_s + self._route.timeout_s,
+            deadline_s=caller.deadline_s,
+            age_s=entry.deadlines.age_s(left_s),
         )
-        request = _Request(entry=entry, patience=patience)
+        request = _Request(entry=entry, patience=patience, caller=caller)
         entry.pool.shortlist.on_request(now_s=self._now_s)
-        if entry.line:
+        if self._is_behind(request):
             self._wait(request)
         else:
             self._ask(entry, request, lambda: self._try(request))
 
+    def _is_behind(self, request: _Request) -> bool:
+        line = request.entry.line
+        if request.patience.is_late(now_s=self._now_s):
+            return bool(line) or request.entry.pool.is_full(now_s=self._now_s)
+        return line.has_before(rank=self._route.rank, now_s=self._now_s)
+
     def _ask(self, entry: _Entry, request: _Request, then: Callable[[], None]) -> None:
         """Ask upstreams as an entry does, and go on when they have answered."""
         self._ask_some(entry, request, list(PROBES), then)
@@ -263,7 +312,10 @@
         wanted = request.patience.wanted(excluded=frozenset(), now_s=self._now_s)
         chosen = pool.choose(wanted, now_s=self._now_s, fresh_only=True)
         if chosen is None or not pool.start(chosen.view, now_s=self._now_s):
+            if not request.patience.is_late(now_s=self._now_s):
+                pool.on_no_room(now_s=self._now_s)
             return False
+        request.busy = chosen.view.busy(now_s=self._now_s)
         request.upstream = chosen.view.registration.id
         request.sent_at_s = self._now_s
         request.pace = chosen.view.pace
@@ -292,8 +344,11 @@
         self._report(request.entry, request.upstream)
         self._release(request.entry, request.upstream)
         took_s = self._now_s - request.sent_at_s
-        request.entry.work.on_answer(took_s, pace=request.pace)
-        if self._now_s <= request.patience.objective_at_s:
+        assert request.busy is not None
+        request.entry.pool.learn(
+            request.entry.work, took_s, pace=request.pace, busy=request.busy
+        )
+        if self._now_s <= request.caller.first_at_s + self._route.objective_s:
             self._tally.in_time += 1
         else:
             self._tally.late += 1
@@ -304,7 +359,7 @@
 
     def _wait(self, request: _Request) -> None:
         if self._now_s >= request.patience.until_s:
-            self._tally.refused += 1
+            self._refuse(request.caller)
             return
         entry = request.entry
         entry.line.push(
@@ -316,6 +371,14 @@
             entry.steps = True
             self._step_later(entry)
 
+    def _refuse(self, caller: _Caller) -> None:
+        back_at_s = self._now_s + self._rng.uniform(*RETURN_S)
+        if not caller.returns_left or back_at_s >= caller.deadline_s:
+            self._tally.refused += 1
+            return
+        caller.returns_left -= 1
+        self._at(back_at_s, lambda: self._arrive(caller))
+
     def _step_later(self, entry: _Entry) -> None:
         pause_s = STEP_S * (0.5 + self._rng.random())
         self._at(self._now_s + pause_s, lambda: self._step(entry))
@@ -329,9 +392,14 @@
 
     def _round(self, entry: _Entry, waiting: list[_Request]) -> None:
         misses = 0
+        late_may_look = self._now_s - entry.late_looked_at_s >= LATE_STEP_S
         for request in waiting:
-            placed = misses < 2 and self._place(request)
-            misses += not placed
+            late = request.patience.is_late(now_s=self._now_s)
+            looks = misses < 2 and (late_may_look or not late)
+            if looks and late:
+                entry.late_looked_at_s = self._now_s
+            placed = looks and self._place(request)
+            misses += looks and not placed
             if not placed:
                 self._wait(request)
         self._step_later(entry)
--- a/tests/routed/test_overload.py
+++ b/tests/routed/test_overload.py
@@ -76,3 +76,33 @@
         full_factor=2.0,
     ).run()
     assert tally.share_in_time > 0.985
+
+
+# What two of three slots answer, where the third makes all three slow.
+BORNE_HZ = 10 * 2 / 0.1
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_refused_callers_come_back_while_more_comes_than_can_be_served(
+    seed: int,
+) -> None:
+    """They are late already, and don't make those late that are new."""
+    load, calm_s, length_s, after_s = 1.2, 8.0, 4.0, 2.0
+    tally = Overload(
+        route=make_route(objective_s=0.25, rank=2, timeout_s=2.0),
+        entries=8,
+        upstreams=10,
+        slots=3,
+        work_s=0.1,
+        rate_hz=load * BORNE_HZ,
+        length_s=length_s,
+        seed=seed,
+        full_factor=1.7,
+        returns=2,
+        calm_s=calm_s,
+    ).run()
+    others_s = calm_s / 3 + after_s / 2
+    possible = (others_s + length_s / load) / (others_s + length_s)
+    assert tally.share_in_time > 0.75 * possible
+    # Those that come back are not forgotten either.
+    assert tally.refused < 0.15 * tally.requests
