Keep what is learnt of slowdowns in bounds, and read offers in a loop

Found on reading: an upstream that reports a billion slots would have had the entry count through them on each placement, and three thousand offers of another protocol in one go nested as many calls. Each has a test (the second passed before too, as the parser takes fewer at once than the limit of calls). What is learnt is worked out once for each answer and no longer for each comparison.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -56,7 +56,6 @@
 # in the store may lapse and return while it serves on.
 LEAVING_KEPT_S = 600.0
 
-
 _ANY_REQUEST = Wanted(work_s=0.0, within_s=0.0)
 
 
--- a/packages/core/src/borageramp_core/_internal/routing/slowdown.py
+++ b/packages/core/src/borageramp_core/_internal/routing/slowdown.py
@@ -6,7 +6,6 @@
 many requests their upstream had, which is learnt in calm times too.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 __all__ = ["SlowdownProfile"]
@@ -18,6 +17,9 @@
 # Longest time that counts for one answer, in multiples of the usual: a stall
 # says nothing of the others.
 MAX_RATIO = 5.0
+# Sizes of upstreams that are told apart; with more, all begin anew, as an upstream
+# may report any number of slots.
+MAX_SIZES = 64
 # Share of the highest rate of answers that is given up for shorter times.
 RATE_SHARE = 0.97
 
@@ -37,12 +39,29 @@
         return self.answers >= MIN_ANSWERS
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Curve:
+    """What is known of upstreams of one size.
+
+    Attributes
+    ----------
+    factors : tuple of (int, float)
+        Number of requests, and how much longer they take than the fewest.
+    usable_slots : int
+        How many requests are answered fastest at once.
+    """
+
+    factors: tuple[tuple[int, float], ...]
+    usable_slots: int
+
+
 class SlowdownProfile:
     """What the upstreams of one service lose when they are busy or cold."""
 
     def __init__(self) -> None:
-        # By slots of an upstream and requests that it has.
-        self._busy: dict[tuple[int, int], _Average] = {}
+        # By slots of an upstream, then by requests that it has.
+        self._busy: dict[int, dict[int, _Average]] = {}
+        self._curves: dict[int, _Curve] = {}
         self._cold = _Average()
 
     def on_answer(self, ratio: float, *, requests: int, slots: int, cold: bool) -> None:
@@ -63,7 +82,12 @@
         if cold:
             self._cold.add(ratio)
         elif 0 < requests <= slots:
-            self._busy.setdefault((slots, requests), _Average()).add(ratio)
+            if slots not in self._busy and len(self._busy) >= MAX_SIZES:
+                self._busy.clear()
+                self._curves.clear()
+            averages = self._busy.setdefault(slots, {})
+            averages.setdefault(requests, _Average()).add(ratio)
+            self._curves.pop(slots, None)
 
     def factor(self, requests: float, *, slots: int, cold: bool) -> float:
         """Return how much longer a request takes.
@@ -78,7 +102,7 @@
             Whether it is cold.
         """
         factor = 1.0
-        for number, known in self._factors(slots):
+        for number, known in self._curve(slots).factors:
             if number <= requests:
                 factor = known
         if cold and self._cold.known:
@@ -87,21 +111,37 @@
 
     def usable_slots(self, slots: int) -> int:
         """Return how many requests an upstream answers fastest at once."""
-        rates = [(number, number / factor) for number, factor in self._factors(slots)]
-        if not rates or rates[-1][0] < slots:
-            return slots
-        enough = RATE_SHARE * max(rate for _, rate in rates)
-        return next(number for number, rate in rates if rate >= enough)
-
-    def _factors(self, slots: int) -> Iterator[tuple[int, float]]:
-        """Yield the slowdown by number of requests, compared with the fewest."""
-        fewest: float | None = None
-        highest = 1.0
-        for number in range(1, slots + 1):
-            average = self._busy.get((slots, number))
-            if average is None or not average.known:
-                continue
-            if fewest is None:
-                fewest = max(0.1, average.mean)
-            highest = max(highest, average.mean / fewest)
-            yield number, highest
+        return self._curve(slots).usable_slots
+
+    def _curve(self, slots: int) -> _Curve:
+        curve = self._curves.get(slots)
+        if curve is None:
+            factors = _factors(self._busy.get(slots, {}))
+            curve = _Curve(
+                factors=factors, usable_slots=_usable_slots(factors, slots=slots)
+            )
+            if slots in self._busy:
+                self._curves[slots] = curve
+        return curve
+
+
+def _factors(averages: dict[int, _Average]) -> tuple[tuple[int, float], ...]:
+    """Return the slowdown by number of requests, compared with the fewest."""
+    known = [(number, a.mean) for number, a in sorted(averages.items()) if a.known]
+    if not known:
+        return ()
+    fewest = max(0.1, known[0][1])
+    factors: list[tuple[int, float]] = []
+    highest = 1.0
+    for number, mean in known:
+        highest = max(highest, mean / fewest)
+        factors.append((number, highest))
+    return tuple(factors)
+
+
+def _usable_slots(factors: tuple[tuple[int, float], ...], *, slots: int) -> int:
+    if not factors or factors[-1][0] < slots:
+        return slots
+    rates = [(number, number / factor) for number, factor in factors]
+    enough = RATE_SHARE * max(rate for _, rate in rates)
+    return next(number for number, rate in rates if rate >= enough)
--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -102,17 +102,18 @@
             self._pause("waiting")
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade as upgrade:
-            # No other protocol is spoken here, which a server need not say.
-            self._parser = HttpRequestParser(self)
-            rest = data[upgrade.args[0] :]
-            if rest and not self._ending:
-                self._feed(rest)
-        except HttpParserError:
-            if not self._ending:
-                self._refuse(HTTPStatus.BAD_REQUEST)
+        while data and not self._ending:
+            try:
+                self._parser.feed_data(data)
+                return
+            except HttpParserUpgrade as upgrade:
+                # No other protocol is spoken here, which a server need not say.
+                self._parser = HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+            except HttpParserError:
+                if not self._ending:
+                    self._refuse(HTTPStatus.BAD_REQUEST)
+                return
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ending = True
--- a/tests/routed/test_front_limits.py
+++ b/tests/routed/test_front_limits.py
@@ -179,6 +179,18 @@
     run_connection(test)
 
 
+def test_many_offers_in_one_go_are_served_in_turn() -> None:
+    async def test(connection: CallerConnection) -> None:
+        offer = (
+            b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+        )
+        await connection.send(offer * 3000)
+        await asyncio.sleep(3000 * 0.01)
+        assert connection.answer.count(b"HTTP/1.1 200") == 3000
+
+    run_connection(test)
+
+
 def test_an_answer_without_a_length_is_sent_in_chunks() -> None:
     async def test(connection: CallerConnection) -> None:
         await connection.send(WHOLE)
--- a/tests/routed/test_slowdown.py
+++ b/tests/routed/test_slowdown.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping
 
+from borageramp_core._internal.routing.slowdown import MAX_SIZES
 from borageramp_core.routing import SlowdownProfile
 
 
@@ -57,3 +58,11 @@
         profile.on_answer(2.0, requests=1, slots=3, cold=True)
     assert abs(profile.factor(1, slots=3, cold=True) - 2.0) < 0.1
     assert profile.factor(1, slots=3, cold=False) == 1.0
+
+
+def test_upstreams_that_report_nonsense_cost_no_memory() -> None:
+    profile = make_profile({1: 1.0, 2: 1.0, 3: 1.7})
+    for slots in range(10**9, 10**9 + 1000):
+        profile.on_answer(1.0, requests=slots, slots=slots, cold=False)
+        assert profile.usable_slots(slots) == slots
+    assert len(profile._busy) <= MAX_SIZES
