Try a store that was lost again within 1.2 s, so that the end of a cut is noticed in time

An instance that was cut off until 13.0 s sent two requests at 16.0 s to an upstream whose leaving the store had acknowledged at 4.0 s: 3.0 s after the cut, from when on it counts as in contact. Cause, worked out from that history: while renewals of the lease fail, the pause between them grows to 2.4 s, a call that hangs takes 0.5 s more, and nothing else notices that the store is back. Ruled out: the relays, as a new start of following asks the store itself when all are avoided.

Change: pauses grow to 0.6 s, and as much again at random.

--- a/packages/entry/src/borageramp_entry/_internal/routed/listing.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/listing.py
@@ -24,7 +24,7 @@
 # Pause after a failed call, with as much again at random. It doubles while calls
 # fail at an instance that others don't ask, so that an outage costs few calls.
 RETRY_S = 0.3
-MAX_RETRY_S = 1.2
+MAX_RETRY_S = 0.6
 # What is kept back, for timers and slow calls, of the time within which others
 # have to notice that this instance has gone.
 NOTICE_MARGIN_S = 0.7
--- a/tests/routed/test_listing.py
+++ b/tests/routed/test_listing.py
@@ -92,6 +92,55 @@
     assert calls_of(is_relay=False, down=True, lease_s=0.2, length_s=3.0) <= 5
 
 
+# Time within which an instance has to act on what the store tells, from the end of
+# a cut, and what the first answer of another instance takes of it at most.
+CONTACT_S = 3.0
+FIRST_CHANGES_S = 0.7
+CONNECT_TIMEOUT_S = 0.5
+
+
+def time_to_contact_s(*, cut_s: float, seed: int) -> float:
+    """Return the time from the end of a cut until the store has answered."""
+
+    class CutOff(Store):
+        async def _call(self) -> None:
+            if self.down:
+                await asyncio.sleep(CONNECT_TIMEOUT_S)
+                raise StoreUnavailableError("cut off")
+
+    async def run() -> float:
+        now = asyncio.get_running_loop().time
+        answered_at_s: list[float] = []
+        any_store: Any = CutOff()
+        listing = ListingTask(
+            store=any_store,
+            instance=make_instance(),
+            lease_s=4.0,
+            ready=lambda: True,
+            is_relay=lambda: False,
+            on_checked=lambda ok: answered_at_s.append(now()) if ok else None,
+            rng=random.Random(seed),
+        )
+        task = asyncio.ensure_future(listing.run())
+        await asyncio.sleep(0.05)
+        any_store.down = True
+        await asyncio.sleep(cut_s)
+        any_store.down = False
+        back_at_s = now()
+        await asyncio.sleep(10.0)
+        task.cancel()
+        return next(at_s for at_s in answered_at_s if at_s >= back_at_s) - back_at_s
+
+    return run_simulated(run())
+
+
+@pytest.mark.parametrize("cut_s", [4.0, 8.0, 12.0])
+def test_the_end_of_a_cut_is_noticed_in_time(cut_s: float) -> None:
+    """An upstream that left meanwhile must not get requests once it is over."""
+    times_s = [time_to_contact_s(cut_s=cut_s, seed=seed) for seed in range(60)]
+    assert max(times_s) < CONTACT_S - FIRST_CHANGES_S
+
+
 def test_news_of_others_does_not_repeat_a_place_that_is_not_seen_yet() -> None:
     async def run() -> list[int]:
         store: Any = Store()
