--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -19,7 +19,7 @@
 CONNECT_TIMEOUT_S = 0.15
 # Share of the bound on probes that is used, and seconds of it saved up.
 RATE_SHARE = 0.85
-SAVED_S = 10.0
+SAVED_S = 3.0
 
 
 class Prober:
