--- a/packages/entry/src/borageramp_entry/_internal/border/http_request.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/http_request.py
@@ -35,6 +35,13 @@
 class HttpRequest:
     """A request of one connection, and its answer.
 
+    Parameters
+    ----------
+    channel : AnswerChannel
+        Where the answer is written.
+    method, target : str
+        Method, and target as sent.
+
     Attributes
     ----------
     method, target, path : str
@@ -49,6 +56,14 @@
         Whether it is, or says that it will be, over its limit.
     body_late : bool
         Whether the body did not come in the time for it.
+    keep_alive : bool
+        Whether the connection goes on after the answer.
+    old_version : bool
+        Whether the caller speaks HTTP/1.0.
+    received : bool
+        Whether all of it has arrived.
+    started, finished : bool
+        Whether the head, and all of its answer were sent.
     """
 
     def __init__(self, channel: AnswerChannel, *, method: str, target: str) -> None:
