--- a/packages/core/src/borageramp_core/_internal/messages.py
+++ b/packages/core/src/borageramp_core/_internal/messages.py
@@ -60,10 +60,17 @@
         Whether it is shutting down and accepts no requests until it restarts.
     pause_s : float
         Seconds for which it accepts no requests; 0 if it requested no pause.
+    rate_limit_hz : float or None
+        Requests per second that it accepts from all entries together; infinity if
+        it named no limit, ``None`` if that is unknown.
+    problem : str
+        Why the rate limit could not be read; empty if it could.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    rate_limit_hz: float | None = None
+    problem: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/borageramp_core/_internal/routing/upstream_view.py
+++ b/packages/core/src/borageramp_core/_internal/routing/upstream_view.py
@@ -6,6 +6,7 @@
 from borageramp_core._internal.messages import LoadReport, Notice
 from borageramp_core._internal.model import Upstream
 from borageramp_core._internal.routing.model import Registration
+from borageramp_core._internal.routing.rate_limit import RateLimitState
 
 __all__ = [
     "LoadSnapshot",
@@ -100,6 +101,8 @@
         End of the pause that it requested.
     ramp_hz : float
         Rate limit while cold in requests per second, over all entries.
+    rate_limit : RateLimitState
+        Rate limit that it names in its answers.
     """
 
     registration: Registration
@@ -114,6 +117,7 @@
     leaving: bool = False
     paused_until_s: float = float("-inf")
     ramp_hz: float = field(default=0.0)
+    rate_limit: RateLimitState = field(default_factory=RateLimitState)
 
     def is_cold(self, *, now_s: float) -> bool:
         """Return whether it is still warming up."""
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -23,6 +23,7 @@
     PlacementRequirements,
 )
 from borageramp_core._internal.routing.pool import ServicePool
+from borageramp_core._internal.routing.rate_limit import AnswerKind, RateLimitState
 from borageramp_core._internal.routing.relay_plan import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.route_table import RouteTable, choose_service
@@ -32,6 +33,7 @@
 
 __all__ = [
     "AdmissionQueue",
+    "AnswerKind",
     "CallerLimits",
     "ColdAllowance",
     "ColdBounds",
@@ -44,6 +46,7 @@
     "MalformedItem",
     "PlacementChoice",
     "PlacementRequirements",
+    "RateLimitState",
     "Registration",
     "RelayPlan",
     "Route",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -223,6 +223,16 @@
             "Connections opened to upstreams.",
             lambda: float(self._client.opened),
         )
+        gauge(
+            "borageramp_limited_upstreams",
+            "Upstreams with a rate limit in force.",
+            lambda: float(self._pools.limited_upstream_count),
+        )
+        gauge(
+            "borageramp_limited_attempts",
+            "Attempts on upstreams with a rate limit in force.",
+            lambda: float(self._pools.limited_attempts),
+        )
 
     def _in_flight(self) -> float:
         return float(self._handler.in_flight)
--- a/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from borageramp_core import AttemptResult, LoadReport, Notice
-from borageramp_core.routing import PlacementChoice, WorkEstimate
+from borageramp_core.routing import AnswerKind, PlacementChoice, WorkEstimate
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import (
@@ -83,6 +83,7 @@
         self._client = client
         self._clock = clock
         self._finished = False
+        pools.on_attempt(choice.view)
 
     async def run(self, request: CallerRequest) -> RoutedAnswer:
         """Send the request and read the answer, or the first part of a large one.
@@ -125,7 +126,13 @@
         now_s = self._clock()
         if report is not None:
             self.view.on_report(report, now_s=now_s)
-        self._pools.on_notice(self.view, notice, now_s=now_s)
+        self._pools.on_notice(
+            self.view,
+            notice,
+            kind=AnswerKind.REQUEST,
+            sent_at_s=self.started_at_s,
+            now_s=now_s,
+        )
 
     async def _buffer_body(
         self, answer: UpstreamAnswer, request: CallerRequest
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -313,6 +313,7 @@
             report_age_ms=_age_ms(view.report_age_s(now_s=self._dispatcher.clock())),
             candidates=choice.candidate_count,
             caller_age_ms=round(self._caller_age_s * 1000, 1),
+            limit_hz=view.rate_limit.hz if view.rate_limit.in_force else None,
         )
         self._attempted_ids.add(view.registration.id)
         self._hedge_at_s = self._dispatcher.clock() + self._work_estimate.late_after_s
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -6,6 +6,7 @@
 
 from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
+    AnswerKind,
     ColdAllowance,
     DeadlineProfile,
     FleetState,
@@ -64,6 +65,7 @@
         self._on_removed = on_removed
         self._rng = rng
         self._entry_count = 1
+        self.limited_attempts = 0
         self._pools: dict[str, ServicePool] = {}
         self._retry_budgets: dict[str, RatioBudget] = {}
         self._work_estimates: dict[str, WorkEstimate] = {}
@@ -130,8 +132,42 @@
         budget.burst = max(1.0, slack_per_entry)
         return budget
 
-    def on_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> None:
-        """Apply the notice that came with an answer of an upstream."""
+    @property
+    def limited_upstream_count(self) -> int:
+        """Number of upstreams with a rate limit in force."""
+        views = (v for p in self._pools.values() for v in p.views.values())
+        return sum(v.rate_limit.in_force for v in views)
+
+    def on_attempt(self, view: UpstreamView) -> None:
+        """Count an attempt if its upstream has a rate limit."""
+        self.limited_attempts += view.rate_limit.in_force
+
+    def on_notice(
+        self,
+        view: UpstreamView,
+        notice: Notice,
+        *,
+        kind: AnswerKind,
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Apply the notice that came with an answer.
+
+        Parameters
+        ----------
+        view : UpstreamView
+            The upstream that the request was sent to.
+        notice : Notice
+            The notice.
+        kind : AnswerKind
+            What the upstream answered.
+        sent_at_s : float
+            Time at which the request was sent.
+        now_s : float
+            Current time in seconds.
+        """
+        if view.address_mismatch:
+            return
         pool = self.pool(view.registration.service)
         if pool.on_notice(view, notice, now_s=now_s):
             _log.info(
@@ -141,6 +177,24 @@
                 leaving=view.leaving,
                 pause_s=notice.pause_s,
             )
+        if notice.problem and not view.rate_limit.unreadable:
+            view.rate_limit.unreadable = True
+            _log.warning(
+                "upstream rate limit unreadable",
+                upstream=view.registration.id,
+                problem=notice.problem,
+            )
+        limit_hz = notice.rate_limit_hz
+        if limit_hz is not None and view.rate_limit.on_answer(
+            limit_hz, kind=kind, sent_at_s=sent_at_s, now_s=now_s
+        ):
+            _log.info(
+                "upstream rate limit changed",
+                upstream=view.registration.id,
+                service=view.registration.service,
+                limit_hz=limit_hz if view.rate_limit.in_force else None,
+                answer=kind.value,
+            )
 
     def work_estimate(self, route: Route) -> WorkEstimate:
         """Return the work estimate of a route."""
--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 
 from borageramp_core import TokenBucket
-from borageramp_core.routing import UpstreamView
+from borageramp_core.routing import AnswerKind, UpstreamView
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
 
@@ -86,6 +86,7 @@
 
     async def _probe(self, view: UpstreamView, path: str) -> UpstreamView:
         self.sent += 1
+        sent_at_s = self._clock()
         try:
             answer = await self._client.ask_health(
                 view.upstream,
@@ -100,8 +101,14 @@
             return view
         finally:
             self._in_flight.pop(view.registration.id, None)
-        self._pools.on_notice(view, answer.notice, now_s=self._clock())
         view.unhealthy = not answer.healthy
         if answer.report is not None:
             view.on_report(answer.report, now_s=self._clock())
+        self._pools.on_notice(
+            view,
+            answer.notice,
+            kind=AnswerKind.HEALTH_CHECK,
+            sent_at_s=sent_at_s,
+            now_s=self._clock(),
+        )
         return view
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -8,6 +8,7 @@
 from borageramp_core.routing import (
     ColdAllowance,
     ColdBounds,
+    FleetState,
     Instance,
     PlacementRequirements,
     Registration,
@@ -18,7 +19,8 @@
     ServiceShare,
     WorkEstimate,
 )
-from borageramp_settings import RoutedSettings
+from borageramp_entry._internal.routed.pools import PoolRegistry
+from borageramp_settings import FleetBounds, RoutedSettings
 
 HERE = "north"
 AWAY = "south"
@@ -141,6 +143,22 @@
     return pool
 
 
+def make_pools(
+    name: str = "e0", *, listed: frozenset[str] = frozenset(), **bounds: Any
+) -> PoolRegistry:
+    """Return the pools of an entry that sees ``listed`` as the fleet."""
+    pools = PoolRegistry(
+        member=name,
+        data_centre=HERE,
+        bounds=FleetBounds(**bounds),
+        cold=ColdAllowance(member=name, bounds=ColdBounds()),
+        on_removed=lambda view: None,
+        rng=random.Random(1),
+    )
+    pools.apply(FleetState(), entries=listed or frozenset({name}), now_s=0.0)
+    return pools
+
+
 def make_requirements(**fields: Any) -> PlacementRequirements:
     """Return the requirements of a request of 0.1 s of work."""
     values: dict[str, Any] = {"work_s": 0.1, "max_response_s": 10.0, **fields}
--- a/tests/routed/test_budgets.py
+++ b/tests/routed/test_budgets.py
@@ -7,28 +7,13 @@
 
 import pytest
 
-from borageramp_core.routing import ColdAllowance, ColdBounds, FleetState
-from borageramp_entry._internal.routed.pools import PoolRegistry
-from borageramp_settings import FleetBounds
+from tests.lib.routed import make_pools
 
 WINDOW_S = 10
 RATIO, SLACK = 0.2, 58.0
 REQUESTS_HZ = 300
 
 
-def make_pools(name: str, listed: frozenset[str]) -> PoolRegistry:
-    pools = PoolRegistry(
-        member="e0",
-        data_centre="north",
-        bounds=FleetBounds(retry_ratio=RATIO, retry_slack=SLACK),
-        cold=ColdAllowance(member=name, bounds=ColdBounds()),
-        on_removed=lambda view: None,
-        rng=random.Random(1),
-    )
-    pools.apply(FleetState(), entries=listed, now_s=0.0)
-    return pools
-
-
 def count_retries_by_second(
     entries: int, *, unlisted: int, failing_at_s: int
 ) -> list[int]:
@@ -36,7 +21,10 @@
     rng = random.Random(entries)
     names = [f"e{i}" for i in range(entries)]
     listed = frozenset(names[: entries - unlisted])
-    fleet = [make_pools(name, listed) for name in names]
+    fleet = [
+        make_pools(name, listed=listed, retry_ratio=RATIO, retry_slack=SLACK)
+        for name in names
+    ]
     spent = []
     for second in range(3 * WINDOW_S):
         retries = 0
