--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -6,23 +6,15 @@
 
 import heapq
 import random
-from collections import defaultdict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from borageramp_core import AttemptResult, LoadReport
-from borageramp_core.routing import (
-    AdmissionQueue,
-    DeadlineProfile,
-    LoadSnapshot,
-    Route,
-    ServicePool,
-    WaitPolicy,
-    WorkEstimate,
-)
+from borageramp_core.routing import AnswerKind, Route, WaitPolicy
+from tests.lib.overload_model import Caller, Entry, Request, Tally, Upstream
+from tests.lib.rate_limits import RateLimits
 from tests.lib.routed import make_cold, make_pool, make_registration, make_work
 
-__all__ = ["Overload", "Tally"]
+__all__ = ["Overload"]
 
 PROBES = (3, 4)
 PROBE_S = 0.002
@@ -36,76 +28,6 @@
 PACE_CHANGE_S = 0.5  # Interval after which other upstreams are slow.
 
 
-@dataclass(kw_only=True)
-class Tally:
-    """Outcomes of the requests.
-
-    Attributes
-    ----------
-    in_time, late, refused : int
-        Number of requests by outcome.
-    connections : int
-        Connections to upstreams opened, for probes and requests.
-    """
-
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    connections: int = 0
-
-    @property
-    def requests(self) -> int:
-        return self.in_time + self.late + self.refused
-
-    @property
-    def share_in_time(self) -> float:
-        return self.in_time / self.requests
-
-
-@dataclass(kw_only=True)
-class _Upstream:
-    slots: int
-    running: int = 0
-    queue: deque["_Request"] = field(default_factory=deque)
-    # Times until which idle connections stay open, by entry.
-    idle: defaultdict[str, list[float]] = field(
-        default_factory=lambda: defaultdict(list)
-    )
-
-    @property
-    def requests(self) -> int:
-        return self.running + len(self.queue)
-
-
-@dataclass(kw_only=True)
-class _Entry:
-    name: str
-    pool: ServicePool
-    work: WorkEstimate
-    queue: AdmissionQueue["_Request"] = field(default_factory=AdmissionQueue)
-    steps: bool = False
-    deadlines: DeadlineProfile = field(default_factory=DeadlineProfile)
-    late_looked_at_s: float = float("-inf")
-
-
-@dataclass(kw_only=True)
-class _Caller:
-    first_at_s: float
-    deadline_s: float
-    returns_left: int  # Retries left after refusals.
-
-
-@dataclass(kw_only=True)
-class _Request:
-    entry: _Entry
-    wait_policy: WaitPolicy
-    caller: "_Caller"
-    upstream: str = ""
-    sent_at_s: float = 0.0
-    pace: float = 1.0
-    load_snapshot: LoadSnapshot | None = None
-
-
 class Overload:
     """A burst of requests to one service.
 
@@ -131,6 +53,8 @@
         Number of times a refused caller retries.
     calm_s : float
         Time before the burst, at a third of its rate.
+    rate_limits : RateLimits, optional
+        Rate limits that the upstreams name.
     """
 
     def __init__(
@@ -148,7 +72,9 @@
         slow_share: float = 0.0,
         returns: int = 0,
         calm_s: float = 0.0,
+        rate_limits: RateLimits | None = None,
     ) -> None:
+        self._rate_limits = rate_limits or RateLimits()
         self._returns, self._calm_s = returns, calm_s
         self._seed, self._slow_share = seed, slow_share
         self._full_factor = full_factor
@@ -158,13 +84,13 @@
         self._route = route
         self._work_s = work_s
         names = [f"u{i}" for i in range(upstreams)]
-        self._upstreams = {n: _Upstream(slots=slots) for n in names}
+        self._upstreams = {n: Upstream(slots=slots) for n in names}
         self._entries = [
-            _Entry(
+            Entry(
                 name=f"e{i}",
                 pool=make_pool(
                     *(make_registration(n, slots=slots) for n in names),
-                    cold=make_cold(),
+                    cold=make_cold(entries, own=i),
                     seed=seed * 1000 + i,
                     member=f"e{i}",
                 ),
@@ -203,12 +129,12 @@
         # Timeouts of callers vary by up to 15 %.
         patience_s = self._route.timeout_s * (1.0 - 0.15 * self._rng.random())
         deadline_s = self._now_s + patience_s
-        caller = _Caller(
+        caller = Caller(
             first_at_s=self._now_s, deadline_s=deadline_s, returns_left=self._returns
         )
         self._arrive(caller)
 
-    def _arrive(self, caller: _Caller) -> None:
+    def _arrive(self, caller: Caller) -> None:
         entry = self._rng.choice(self._entries)
         left_s = caller.deadline_s - self._now_s
         if not entry.queue:
@@ -220,27 +146,27 @@
             deadline_s=caller.deadline_s,
             age_s=entry.deadlines.caller_age_s(left_s),
         )
-        request = _Request(entry=entry, wait_policy=wait_policy, caller=caller)
+        request = Request(entry=entry, wait_policy=wait_policy, caller=caller)
         entry.pool.shortlist.on_request(now_s=self._now_s)
         if self._is_behind(request):
             self._wait(request)
         else:
             self._ask(entry, request, lambda: self._try(request))
 
-    def _is_behind(self, request: _Request) -> bool:
+    def _is_behind(self, request: Request) -> bool:
         queue = request.entry.queue
         if request.wait_policy.is_late(now_s=self._now_s):
             return bool(queue) or request.entry.pool.is_full(now_s=self._now_s)
         return queue.has_ahead(rank=self._route.rank, now_s=self._now_s)
 
-    def _ask(self, entry: _Entry, request: _Request, then: Callable[[], None]) -> None:
+    def _ask(self, entry: Entry, request: Request, then: Callable[[], None]) -> None:
         """Probe upstreams as an entry does, then call ``then``."""
         self._ask_some(entry, request, list(PROBES), then)
 
     def _ask_some(
         self,
-        entry: _Entry,
-        request: _Request,
+        entry: Entry,
+        request: Request,
         counts: list[int],
         then: Callable[[], None],
     ) -> None:
@@ -260,9 +186,17 @@
 
         for view in views:
             self._connect(entry, view.registration.id)
+        sent_at_s = self._now_s
 
         def answered() -> None:
             for view in views:
+                self._rate_limits.on_answer(
+                    view,
+                    entry=entry.name,
+                    kind=AnswerKind.HEALTH_CHECK,
+                    sent_at_s=sent_at_s,
+                    now_s=self._now_s,
+                )
                 self._report(entry, view.registration.id)
                 self._release(entry, view.registration.id)
             self._ask_some(entry, request, counts[1:], then)
@@ -277,7 +211,7 @@
         draw = random.Random(f"{self._seed} {name} {change}").random()
         return SLOW_PACE if draw < self._slow_share else 1.0
 
-    def _connect(self, entry: _Entry, name: str) -> None:
+    def _connect(self, entry: Entry, name: str) -> None:
         """Reuse an idle connection, or open one."""
         idle = self._upstreams[name].idle[entry.name]
         while idle:
@@ -285,17 +219,17 @@
                 return
         self._tally.connections += 1
 
-    def _release(self, entry: _Entry, name: str) -> None:
+    def _release(self, entry: Entry, name: str) -> None:
         self._upstreams[name].idle[entry.name].append(self._now_s + IDLE_S)
 
-    def _report(self, entry: _Entry, name: str) -> None:
+    def _report(self, entry: Entry, name: str) -> None:
         upstream = self._upstreams[name]
         report = LoadReport(
             in_flight=upstream.requests, slots=upstream.slots, pace=self._pace(name)
         )
         entry.pool.on_report(entry.pool.views[name], report, now_s=self._now_s)
 
-    def _place(self, request: _Request) -> bool:
+    def _place(self, request: Request) -> bool:
         pool = request.entry.pool
         needed = request.wait_policy.requirements(
             excluded=frozenset(), now_s=self._now_s
@@ -310,6 +244,9 @@
         request.sent_at_s = self._now_s
         request.pace = chosen.view.pace
         self._connect(request.entry, request.upstream)
+        self._rate_limits.on_arrival(
+            request.upstream, entry=request.entry.name, now_s=self._now_s
+        )
         upstream = self._upstreams[request.upstream]
         if upstream.running < upstream.slots:
             self._start(upstream, request)
@@ -317,7 +254,7 @@
             upstream.queue.append(request)
         return True
 
-    def _start(self, upstream: _Upstream, request: _Request) -> None:
+    def _start(self, upstream: Upstream, request: Request) -> None:
         upstream.running += 1
         work_s = self._work_s * self._rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
         if upstream.running >= upstream.slots - self._near:
@@ -325,11 +262,18 @@
         work_s *= self._pace(request.upstream)
         self._at(self._now_s + work_s, lambda: self._end(upstream, request))
 
-    def _end(self, upstream: _Upstream, request: _Request) -> None:
+    def _end(self, upstream: Upstream, request: Request) -> None:
         upstream.running -= 1
         if upstream.queue:
             self._start(upstream, upstream.queue.popleft())
         view = request.entry.pool.views[request.upstream]
+        self._rate_limits.on_answer(
+            view,
+            entry=request.entry.name,
+            kind=AnswerKind.REQUEST,
+            sent_at_s=request.sent_at_s,
+            now_s=self._now_s,
+        )
         request.entry.pool.end_request(view, AttemptResult.ANSWERED, now_s=self._now_s)
         self._report(request.entry, request.upstream)
         self._release(request.entry, request.upstream)
@@ -344,11 +288,11 @@
         else:
             self._tally.late += 1
 
-    def _try(self, request: _Request) -> None:
+    def _try(self, request: Request) -> None:
         if not self._place(request):
             self._wait(request)
 
-    def _wait(self, request: _Request) -> None:
+    def _wait(self, request: Request) -> None:
         if self._now_s >= request.wait_policy.wait_until_s:
             self._refuse(request.caller)
             return
@@ -362,7 +306,7 @@
             entry.steps = True
             self._step_later(entry)
 
-    def _refuse(self, caller: _Caller) -> None:
+    def _refuse(self, caller: Caller) -> None:
         back_at_s = self._now_s + self._rng.uniform(*RETURN_S)
         if caller.returns_left and back_at_s < caller.deadline_s:
             caller.returns_left -= 1
@@ -370,18 +314,18 @@
         else:
             self._tally.refused += 1
 
-    def _step_later(self, entry: _Entry) -> None:
+    def _step_later(self, entry: Entry) -> None:
         pause_s = STEP_S * (0.5 + self._rng.random())
         self._at(self._now_s + pause_s, lambda: self._step(entry))
 
-    def _step(self, entry: _Entry) -> None:
+    def _step(self, entry: Entry) -> None:
         waiting = entry.queue.pop_all(now_s=self._now_s)
         if not waiting:
             entry.steps = False
             return
         self._ask(entry, waiting[0], lambda: self._round(entry, waiting))
 
-    def _round(self, entry: _Entry, waiting: list[_Request]) -> None:
+    def _round(self, entry: Entry, waiting: list[Request]) -> None:
         misses = 0
         late_may_look = self._now_s - entry.late_looked_at_s >= LATE_STEP_S
         for request in waiting:
--- a/tests/routed/test_fleet_size.py
+++ b/tests/routed/test_fleet_size.py
@@ -8,7 +8,8 @@
 import pytest
 
 from borageramp_core.routing import ServicePool
-from tests.lib.overload import Overload, Tally
+from tests.lib.overload import Overload
+from tests.lib.overload_model import Tally
 from tests.lib.routed import (
     AWAY,
     HERE,
--- a/tests/routed/test_overload.py
+++ b/tests/routed/test_overload.py
@@ -6,7 +6,8 @@
 import pytest
 
 from borageramp_core.routing import Route
-from tests.lib.overload import Overload, Tally
+from tests.lib.overload import Overload
+from tests.lib.overload_model import Tally
 from tests.lib.routed import make_route
 
 UPSTREAMS, SLOTS = 3, 6
--- a/tests/routed/test_rate_limits.py
+++ b/tests/routed/test_rate_limits.py
@@ -1,5 +1,6 @@
 """Rate limits that upstreams name in their answers."""
 
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
@@ -9,9 +10,10 @@
 from borageramp_core.routing import AnswerKind, RateLimitState, UpstreamView
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_platform.messages import Upstreams
-from tests.lib.routed import make_pools, make_registration
-
-UNLIMITED_HZ = float("inf")
+from tests.lib.overload import Overload
+from tests.lib.overload_model import Tally
+from tests.lib.rate_limits import UNLIMITED_HZ, RateLimits
+from tests.lib.routed import make_pools, make_registration, make_route
 
 
 def read_notice(*values: bytes, status: int = 200) -> Notice:
@@ -134,3 +136,69 @@
     view.address_mismatch = True
     assert notify(pools, view, Notice(rate_limit_hz=3.0, leaving=True)) == []
     assert not view.rate_limit.in_force and not view.leaving
+
+
+LIMIT_FROM_S = 2.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fleet:
+    """Entries, and upstreams of which some name a limit."""
+
+    entries: int = 18
+    upstreams: int = 20
+    rate_hz: float = 50.0
+    limited: int = 2
+    limit_hz: float = 1.0
+    in_health_checks: bool = True
+
+
+def run_limited(fleet: Fleet) -> tuple[RateLimits, Tally]:
+    """Run 20 s in which the limits begin after some seconds."""
+    names = {f"u{i}" for i in range(fleet.limited)}
+
+    def limit_of(name: str, now_s: float) -> float:
+        if name in names and now_s >= LIMIT_FROM_S:
+            return fleet.limit_hz
+        return UNLIMITED_HZ
+
+    rate_limits = RateLimits(limit_of, in_health_checks=fleet.in_health_checks)
+    tally = Overload(
+        route=make_route(objective_s=0.6, timeout_s=4.0),
+        entries=fleet.entries,
+        upstreams=fleet.upstreams,
+        slots=3,
+        work_s=0.22,
+        rate_hz=fleet.rate_hz,
+        length_s=20.0,
+        seed=1,
+        rate_limits=rate_limits,
+    ).run()
+    return rate_limits, tally
+
+
+# Guards against LIMIT: entries that were told a limit sent on as before.
+@pytest.mark.parametrize(
+    "fleet",
+    [
+        pytest.param(Fleet(), id="few limited"),
+        pytest.param(Fleet(in_health_checks=False), id="only requests tell"),
+        pytest.param(Fleet(limited=20, limit_hz=0.1), id="all limited"),
+        pytest.param(
+            Fleet(entries=14, upstreams=17, rate_hz=180.0, limit_hz=4.0),
+            id="high limit",
+        ),
+        pytest.param(
+            Fleet(entries=1, upstreams=4, rate_hz=30.0, limit_hz=1.5), id="one entry"
+        ),
+        pytest.param(
+            Fleet(entries=313, upstreams=60, rate_hz=150.0, limit_hz=0.1, limited=10),
+            id="many entries",
+        ),
+    ],
+)
+def test_all_entries_together_keep_to_the_rate_limit_of_an_upstream(
+    fleet: Fleet,
+) -> None:
+    rate_limits, _ = run_limited(fleet)
+    assert rate_limits.excesses() == []
