--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -9,15 +9,16 @@
 
 from borageramp_core._internal.messages import AttemptResult, LoadReport, Notice
 from borageramp_core._internal.outliers import Outliers
-from borageramp_core._internal.routing.cold_allowance import ColdAllowance
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.placement import (
     PlacementChoice,
     PlacementRequirements,
 )
+from borageramp_core._internal.routing.rate_allowance import RateAllowance
 from borageramp_core._internal.routing.response_time import response_time_estimator
 from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
+from borageramp_core._internal.routing.upstream_eligibility import UpstreamEligibility
 from borageramp_core._internal.routing.upstream_view import (
     LoadSnapshot,
     UpstreamIncarnation,
@@ -63,7 +64,7 @@
         Name of this entry.
     data_centre : str
         Data centre of this entry.
-    cold : ColdAllowance
+    cold : RateAllowance
         Rate limits of this entry for cold upstreams.
     rng : random.Random
         Random number generator.
@@ -75,7 +76,7 @@
         name: str,
         member: str,
         data_centre: str,
-        cold: ColdAllowance,
+        cold: RateAllowance,
         rng: random.Random,
     ) -> None:
         self.name = name
@@ -84,9 +85,8 @@
         self.slowdown = SlowdownProfile()
         self.outliers = Outliers(max_ejected_share=MAX_EJECTED_SHARE)
         self._data_centre = data_centre
-        self._cold = cold
+        self._eligibility = UpstreamEligibility(cold=cold)
         self._rng = rng
-        self._evacuated_data_centres: Collection[str] = ()
         self._leave_notice_at_s: dict[UpstreamIncarnation, float] = {}
         self._full_until_s = float("-inf")
 
@@ -105,7 +105,7 @@
         list of str
             Identifiers of upstreams that were removed or restarted.
         """
-        self._evacuated_data_centres = evacuated_data_centres
+        self._eligibility.evacuated_data_centres = evacuated_data_centres
         ramp_hz = settings.ramp_hz if settings is not None else 0.0
         previous = self.views
         self.views = {}
@@ -128,13 +128,6 @@
         }
         return [k for k, v in previous.items() if self.views.get(k) is not v]
 
-    def _accepts(self, view: UpstreamView, requirements: PlacementRequirements) -> bool:
-        if view.registration.leaving or view.leaving or view.address_mismatch:
-            return False
-        if view.registration.data_centre in self._evacuated_data_centres:
-            return False
-        return view.registration.id not in requirements.excluded
-
     def on_no_capacity(self, *, now_s: float) -> None:
         """Record that a request that could meet its objective was not placed."""
         self._full_until_s = now_s + FULL_HOLD_S
@@ -145,29 +138,21 @@
 
     def can_serve(self, requirements: PlacementRequirements, *, now_s: float) -> bool:
         """Return whether any upstream can accept a request within its time limit."""
-        until_s = now_s + requirements.max_response_s
         return any(
-            self._accepts(view, requirements) and view.paused_until_s < until_s
+            self._eligibility.accepts(view, requirements)
+            and self._eligibility.wait_s(view, now_s=now_s)
+            < requirements.max_response_s
             for view in self.views.values()
         )
 
     def pause_remaining_s(self, *, now_s: float) -> float:
         """Return the time to the end of the first pause if all are paused, else 0."""
-        ends_s = [
-            view.paused_until_s
+        waits_s = (
+            self._eligibility.wait_s(view, now_s=now_s)
             for view in self.views.values()
-            if self._accepts(view, _ANY_REQUEST)
-        ]
-        return max(0.0, min(ends_s, default=now_s) - now_s)
-
-    def _is_usable(
-        self, view: UpstreamView, requirements: PlacementRequirements, *, now_s: float
-    ) -> bool:
-        if not self._accepts(view, requirements) or view.is_paused(now_s=now_s):
-            return False
-        return not view.is_cold(now_s=now_s) or self._cold.has_capacity(
-            view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
+            if self._eligibility.accepts(view, _ANY_REQUEST)
         )
+        return min(waits_s, default=0.0)
 
     def _is_healthy(self, view: UpstreamView, *, now_s: float) -> bool:
         if now_s < view.unresponsive_until_s:
@@ -182,7 +167,7 @@
         usable: list[UpstreamView] = []
         healthy: list[UpstreamView] = []
         for view in self.shortlist.order:
-            if not self._is_usable(view, requirements, now_s=now_s):
+            if not self._eligibility.is_usable(view, requirements, now_s=now_s):
                 continue
             usable.append(view)
             if self._is_healthy(view, now_s=now_s):
@@ -298,7 +283,7 @@
         if self.outliers.state(view.upstream.id).success_rate < MIN_GOOD_SUCCESS_SHARE:
             return False
         healthy = self._is_healthy(view, now_s=now_s)
-        return healthy and self._is_usable(view, requirements, now_s=now_s)
+        return healthy and self._eligibility.is_usable(view, requirements, now_s=now_s)
 
     def _has_capacity(
         self, view: UpstreamView, requirements: PlacementRequirements, *, now_s: float
@@ -328,9 +313,7 @@
 
     def start_request(self, view: UpstreamView, *, now_s: float) -> bool:
         """Count a request to an upstream; return whether it may be sent."""
-        if view.is_cold(now_s=now_s) and not self._cold.take(
-            view.registration.id, ramp_hz=view.ramp_hz, now_s=now_s
-        ):
+        if not self._eligibility.take(view, now_s=now_s):
             return False
         view.load.in_flight += 1
         return True
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -1,7 +1,6 @@
 """Routing logic of an entry: matching, queueing and placement, without I/O."""
 
 from borageramp_core._internal.routing.admission_queue import AdmissionQueue, WaitPolicy
-from borageramp_core._internal.routing.cold_allowance import ColdAllowance, ColdBounds
 from borageramp_core._internal.routing.config_checks import config_faults
 from borageramp_core._internal.routing.deadline_profile import DeadlineProfile
 from borageramp_core._internal.routing.fleet_state import FleetState
@@ -23,6 +22,7 @@
     PlacementRequirements,
 )
 from borageramp_core._internal.routing.pool import ServicePool
+from borageramp_core._internal.routing.rate_allowance import RateAllowance, RateBounds
 from borageramp_core._internal.routing.rate_limit import AnswerKind, RateLimitState
 from borageramp_core._internal.routing.relay_plan import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
@@ -35,8 +35,8 @@
     "AdmissionQueue",
     "AnswerKind",
     "CallerLimits",
-    "ColdAllowance",
-    "ColdBounds",
+    "RateAllowance",
+    "RateBounds",
     "CrashSuspect",
     "DeadlineProfile",
     "EvacuatedDataCentre",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING, Any
 
 from borageramp_core.routing import (
-    ColdAllowance,
-    ColdBounds,
     Instance,
+    RateAllowance,
+    RateBounds,
     RelayPlan,
     StateItem,
     UpstreamView,
@@ -154,9 +154,9 @@
             store=self._store,
             client=self._client,
         )
-        cold = ColdAllowance(
+        cold = RateAllowance(
             member=self._own_instance.name,
-            bounds=ColdBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
+            bounds=RateBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
         )
         self._pools = PoolRegistry(
             member=self._own_instance.name,
@@ -287,7 +287,7 @@
             return
         self._settings = settings
         self._pools.bounds = settings.bounds
-        self._pools.cold.bounds = ColdBounds(
+        self._pools.cold.bounds = RateBounds(
             overage=settings.bounds.cold_overage, slack=settings.bounds.cold_slack
         )
         _log.info("settings reloaded")
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -7,9 +7,9 @@
 from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
     AnswerKind,
-    ColdAllowance,
     DeadlineProfile,
     FleetState,
+    RateAllowance,
     Registration,
     Route,
     ServicePool,
@@ -40,7 +40,7 @@
         Data centre of this entry.
     bounds : FleetBounds
         Bounds that all entries share.
-    cold : ColdAllowance
+    cold : RateAllowance
         Allowance of this entry for requests to cold upstreams.
     on_removed : callable
         Called with each upstream that was removed or restarted.
@@ -54,7 +54,7 @@
         member: str,
         data_centre: str,
         bounds: FleetBounds,
-        cold: ColdAllowance,
+        cold: RateAllowance,
         on_removed: Callable[[UpstreamView], None],
         rng: random.Random,
     ) -> None:
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -6,11 +6,11 @@
 
 from borageramp_core import LoadReport
 from borageramp_core.routing import (
-    ColdAllowance,
-    ColdBounds,
     FleetState,
     Instance,
     PlacementRequirements,
+    RateAllowance,
+    RateBounds,
     Registration,
     Route,
     RoutedService,
@@ -112,9 +112,9 @@
     return Registration(id=name, **values)
 
 
-def make_cold(members: int = 1, *, own: int = 0, **bounds: float) -> ColdAllowance:
+def make_cold(members: int = 1, *, own: int = 0, **bounds: float) -> RateAllowance:
     """Return the allowance of entry ``own`` of ``members`` entries."""
-    cold = ColdAllowance(member=f"e{own}", bounds=ColdBounds(**bounds))
+    cold = RateAllowance(member=f"e{own}", bounds=RateBounds(**bounds))
     cold.update_members(frozenset(f"e{i}" for i in range(members)))
     return cold
 
@@ -122,7 +122,7 @@
 def make_pool(
     *registrations: Registration,
     out: tuple[str, ...] = (),
-    cold: ColdAllowance | None = None,
+    cold: RateAllowance | None = None,
     seed: int = 1,
     member: str = "e0",
 ) -> ServicePool:
@@ -151,7 +151,7 @@
         member=name,
         data_centre=HERE,
         bounds=FleetBounds(**bounds),
-        cold=ColdAllowance(member=name, bounds=ColdBounds()),
+        cold=RateAllowance(member=name, bounds=RateBounds()),
         on_removed=lambda view: None,
         rng=random.Random(1),
     )
--- a/tests/routed/test_cold.py
+++ b/tests/routed/test_cold.py
@@ -2,20 +2,20 @@
 
 import pytest
 
-from borageramp_core.routing import ColdAllowance
+from borageramp_core.routing import RateAllowance
 from tests.lib.routed import make_cold
 
 RAMP_HZ = 21.0
 STEP_S = 0.01
 
 
-def max_arrivals_per_second(entries: list[ColdAllowance], *, ramp_hz: float) -> int:
+def max_arrivals_per_second(entries: list[RateAllowance], *, ramp_hz: float) -> int:
     """Send whenever allowed; return the highest number of arrivals in a second."""
     arrivals: list[float] = []
     for step in range(1000):
         now_s = step * STEP_S
         for entry in entries:
-            while entry.take("u1", ramp_hz=ramp_hz, now_s=now_s):
+            while entry.take("u1", rate_hz=ramp_hz, now_s=now_s):
                 arrivals.append(now_s)
     return max(
         sum(1 for other in arrivals if start <= other < start + 1.0)
