--- a/packages/core/src/borageramp_core/_internal/budget.py
+++ b/packages/core/src/borageramp_core/_internal/budget.py
@@ -72,3 +72,22 @@
         self._tokens = min(self.burst, self._tokens + gained)
         self._filled_at_s = now_s
         return self._tokens >= 1.0
+
+    def wait_s(self, *, now_s: float) -> float:
+        """Return the time until there is a token; infinity if none will come."""
+        if self.has_token(now_s=now_s):
+            return 0.0
+        if self.rate_hz <= 0.0:
+            return float("inf")
+        return (1.0 - self._tokens) / self.rate_hz
+
+    def tokens_within(self, duration_s: float, *, now_s: float) -> float:
+        """Return the tokens that can be taken from now on for a time."""
+        self.has_token(now_s=now_s)
+        return self._tokens + self.rate_hz * duration_s
+
+    def set_rate(self, rate_hz: float, *, burst: float, now_s: float) -> None:
+        """Change rate and capacity; tokens gained so far are kept."""
+        self.has_token(now_s=now_s)
+        self.rate_hz = rate_hz
+        self.burst = burst
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -50,8 +50,6 @@
 # The store entry of a leaving upstream may lapse and return while it still serves.
 LEAVE_NOTICE_TTL_S = 600.0
 
-_ANY_REQUEST = PlacementRequirements(work_s=0.0, max_response_s=0.0)
-
 
 class ServicePool:
     """State of one service's upstreams and selection among them.
@@ -65,7 +63,9 @@
     data_centre : str
         Data centre of this entry.
     cold : RateAllowance
-        Rate limits of this entry for cold upstreams.
+        Share of this entry in the rate limits of cold upstreams.
+    limited : RateAllowance
+        Share of this entry in the rate limits that upstreams name.
     rng : random.Random
         Random number generator.
     """
@@ -77,6 +77,7 @@
         member: str,
         data_centre: str,
         cold: RateAllowance,
+        limited: RateAllowance,
         rng: random.Random,
     ) -> None:
         self.name = name
@@ -85,7 +86,7 @@
         self.slowdown = SlowdownProfile()
         self.outliers = Outliers(max_ejected_share=MAX_EJECTED_SHARE)
         self._data_centre = data_centre
-        self._eligibility = UpstreamEligibility(cold=cold)
+        self._eligibility = UpstreamEligibility(cold=cold, limited=limited)
         self._rng = rng
         self._leave_notice_at_s: dict[UpstreamIncarnation, float] = {}
         self._full_until_s = float("-inf")
@@ -136,23 +137,27 @@
         """Return whether a request recently found no capacity."""
         return now_s < self._full_until_s
 
-    def can_serve(self, requirements: PlacementRequirements, *, now_s: float) -> bool:
-        """Return whether any upstream can accept a request within its time limit."""
-        return any(
-            self._eligibility.accepts(view, requirements)
-            and self._eligibility.wait_s(view, now_s=now_s)
-            < requirements.max_response_s
-            for view in self.views.values()
-        )
+    def can_serve(
+        self, requirements: PlacementRequirements, *, queued: int = 0, now_s: float
+    ) -> bool:
+        """Return whether any upstream can accept a request within its time limit.
 
-    def pause_remaining_s(self, *, now_s: float) -> float:
-        """Return the time to the end of the first pause if all are paused, else 0."""
-        waits_s = (
-            self._eligibility.wait_s(view, now_s=now_s)
-            for view in self.views.values()
-            if self._eligibility.accepts(view, _ANY_REQUEST)
+        ``queued`` is the number of requests that are placed before it.
+        """
+        return self._eligibility.can_serve(
+            self.views.values(), requirements, queued=queued, now_s=now_s
         )
-        return min(waits_s, default=0.0)
+
+    def min_wait_s(self, *, now_s: float) -> float:
+        """Return the least time for which this entry may send no request.
+
+        Returns
+        -------
+        float
+            Time in seconds until a pause ends or a rate limit allows a request; 0 if
+            neither is in the way, or if this entry has no share of any limit.
+        """
+        return self._eligibility.min_wait_s(self.views.values(), now_s=now_s)
 
     def _is_healthy(self, view: UpstreamView, *, now_s: float) -> bool:
         if now_s < view.unresponsive_until_s:
@@ -195,8 +200,12 @@
             for view in self.candidates(requirements, now_s=now_s)
             if view.report_age_s(now_s=now_s) > FRESH_REPORT_AGE_S
         ]
+        preferred = self.shortlist.order[: self.shortlist.width(now_s=now_s)]
+        recheck = self._eligibility.limits_to_recheck(
+            preferred, requirements, now_s=now_s
+        )
         if len(usable) <= count:
-            return usable
+            return [*usable, *recheck]
         expected = response_time_estimator(
             usable, requirements, slowdown=self.slowdown, now_s=now_s
         )
@@ -211,7 +220,7 @@
         # A random probe keeps the data on the other upstreams up to date.
         others = usable[count - 1 :]
         idle = [v for v in others if v.load.in_flight == 0]
-        return [*usable[: count - 1], self._rng.choice(idle or others)]
+        return [*usable[: count - 1], self._rng.choice(idle or others), *recheck]
 
     def choose(
         self,
@@ -313,7 +322,7 @@
 
     def start_request(self, view: UpstreamView, *, now_s: float) -> bool:
         """Count a request to an upstream; return whether it may be sent."""
-        if not self._eligibility.take(view, now_s=now_s):
+        if not self._eligibility.take_shares(view, now_s=now_s):
             return False
         view.load.in_flight += 1
         return True
--- a/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
@@ -57,6 +57,7 @@
         self._member = member
         self._members: tuple[str, ...] = (member,)
         self._buckets: dict[str, TokenBucket] = {}
+        self._ranks: dict[str, int] = {}
 
     def update_members(self, members: frozenset[str]) -> None:
         """Replace the list of entries."""
@@ -64,38 +65,74 @@
         if members != frozenset(self._members):
             self._members = tuple(sorted(members))
             self._buckets.clear()
+            self._ranks.clear()
 
-    def sharer_count(self, rate_hz: float) -> int:
-        """Return how many entries share a rate limit at most."""
-        return max(1, int(self._burst_budget(rate_hz)))
-
-    def _burst_budget(self, rate_hz: float) -> float:
-        """Return how many requests the bursts of all entries may have together."""
-        overage = rate_hz * (self.bounds.overage - 1.0) * self.bounds.window_s
-        return (overage + self.bounds.slack) * self.BURST_SHARE
+    def forget(self, upstream_id: str) -> None:
+        """Drop the state of an upstream that was removed or restarted."""
+        self._buckets.pop(upstream_id, None)
+        self._ranks.pop(upstream_id, None)
 
     def take(self, upstream_id: str, *, rate_hz: float, now_s: float) -> bool:
         """Take a token for a request to an upstream; return whether it had one."""
         return self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s).take(now_s=now_s)
 
-    def has_capacity(self, upstream_id: str, *, rate_hz: float, now_s: float) -> bool:
-        """Return whether a request to an upstream would be allowed now."""
+    def wait_s(self, upstream_id: str, *, rate_hz: float, now_s: float) -> float:
+        """Return the time until a request to an upstream is allowed.
+
+        Returns
+        -------
+        float
+            Time in seconds; infinity if this entry has no share of the rate limit.
+        """
         bucket = self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s)
-        return bucket.has_token(now_s=now_s)
+        return bucket.wait_s(now_s=now_s)
+
+    def requests_within(
+        self, upstream_id: str, duration_s: float, *, rate_hz: float, now_s: float
+    ) -> int:
+        """Return how many requests are allowed to an upstream within a time."""
+        bucket = self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s)
+        return int(bucket.tokens_within(duration_s, now_s=now_s))
+
+    def has_turn(self, upstream_id: str, *, elapsed_s: float, turn_s: float) -> bool:
+        """Return whether a round over all entries has reached this one.
+
+        Parameters
+        ----------
+        upstream_id : str
+            Upstream to which the entries take turns, in an order of its own.
+        elapsed_s : float
+            Time since the round began. The first turn begins after ``turn_s``.
+        turn_s : float
+            Length of a turn.
+        """
+        turn = int(elapsed_s / turn_s) - 1
+        return turn >= 0 and turn % len(self._members) == self._rank(upstream_id)
+
+    def _rank(self, upstream_id: str) -> int:
+        """Return the position of this entry in the order of an upstream."""
+        rank = self._ranks.get(upstream_id)
+        if rank is None:
+            order = rendezvous_order(self._members, upstream_id)
+            rank = self._ranks[upstream_id] = order.index(self._member)
+        return rank
 
     def _bucket(self, upstream_id: str, *, rate_hz: float, now_s: float) -> TokenBucket:
+        share_hz, burst = self._share(upstream_id, rate_hz=rate_hz)
         bucket = self._buckets.get(upstream_id)
         if bucket is None:
-            bucket = self._new_bucket(upstream_id, rate_hz=rate_hz, now_s=now_s)
+            bucket = TokenBucket(rate_hz=share_hz, burst=burst, now_s=now_s)
             self._buckets[upstream_id] = bucket
+        elif (bucket.rate_hz, bucket.burst) != (share_hz, burst):
+            bucket.set_rate(share_hz, burst=burst, now_s=now_s)
         return bucket
 
-    def _new_bucket(
-        self, upstream_id: str, *, rate_hz: float, now_s: float
-    ) -> TokenBucket:
-        count = self.sharer_count(rate_hz)
-        sharing_members = rendezvous_order(self._members, upstream_id)[:count]
-        share_hz = 0.0
-        if self._member in sharing_members:
-            share_hz = self.RATE_SHARE * rate_hz / len(sharing_members)
-        return TokenBucket(rate_hz=share_hz, burst=1.0, now_s=now_s)
+    def _share(self, upstream_id: str, *, rate_hz: float) -> tuple[float, float]:
+        """Return this entry's share of a rate limit, and its burst."""
+        overage = rate_hz * (self.bounds.overage - 1.0) * self.bounds.window_s
+        burst_budget = int((overage + self.bounds.slack) * self.BURST_SHARE)
+        sharer_count = max(1, min(len(self._members), burst_budget))
+        if self._rank(upstream_id) >= sharer_count:
+            return 0.0, 0.0
+        burst = max(1, burst_budget // sharer_count)
+        return self.RATE_SHARE * rate_hz / sharer_count, float(burst)
--- a/packages/core/src/borageramp_core/_internal/routing/rate_limit.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_limit.py
@@ -3,9 +3,13 @@
 import enum
 from dataclasses import dataclass, field
 
-__all__ = ["AnswerKind", "RateLimitState"]
+from borageramp_core._internal.routing.rate_allowance import RateBounds
+
+__all__ = ["RATE_LIMIT_BOUNDS", "AnswerKind", "RateLimitState"]
 
 UNLIMITED_HZ = float("inf")
+# Tolerance of upstreams above the rate limit that they name.
+RATE_LIMIT_BOUNDS = RateBounds(overage=1.5, slack=5.0, window_s=4.0)
 
 
 class AnswerKind(enum.StrEnum):
@@ -34,12 +38,19 @@
         infinity without a limit.
     named_at_s : float
         Time of the last answer that named a limit.
+    probed_at_s : float
+        Time at which the upstream was last selected for a probe only to hear
+        whether its limit has ended.
+    trial_at_s : float
+        Time of the last request to the upstream without a share of its limit.
     unreadable : bool
         Whether an answer named a limit that could not be read.
     """
 
     hz: float = UNLIMITED_HZ
     named_at_s: float = float("-inf")
+    probed_at_s: float = float("-inf")
+    trial_at_s: float = float("-inf")
     unreadable: bool = False
     # An answer without a limit means something only if answers of its kind name one.
     _naming_kinds: set[AnswerKind] = field(default_factory=set)
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -23,7 +23,11 @@
 )
 from borageramp_core._internal.routing.pool import ServicePool
 from borageramp_core._internal.routing.rate_allowance import RateAllowance, RateBounds
-from borageramp_core._internal.routing.rate_limit import AnswerKind, RateLimitState
+from borageramp_core._internal.routing.rate_limit import (
+    RATE_LIMIT_BOUNDS,
+    AnswerKind,
+    RateLimitState,
+)
 from borageramp_core._internal.routing.relay_plan import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.route_table import RouteTable, choose_service
@@ -32,6 +36,7 @@
 from borageramp_core._internal.routing.work_estimate import WorkEstimate
 
 __all__ = [
+    "RATE_LIMIT_BOUNDS",
     "AdmissionQueue",
     "AnswerKind",
     "CallerLimits",
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -362,7 +362,7 @@
             retry_after_s=self._retry_after_s(
                 max(
                     self._work_estimate.mean_s,
-                    self._pool.pause_remaining_s(now_s=self._dispatcher.clock()),
+                    self._pool.min_wait_s(now_s=self._dispatcher.clock()),
                 )
             ),
         )
--- a/packages/entry/src/borageramp_entry/_internal/routed/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placement.py
@@ -118,7 +118,8 @@
         now_s = self._clock()
         if not wait or now_s >= pending.wait_policy.wait_until_s:
             return None
-        if not self.pool.can_serve(pending.requirements(now_s=now_s), now_s=now_s):
+        requirements = pending.requirements(now_s=now_s)
+        if not self.pool.can_serve(requirements, queued=self.queued_count, now_s=now_s):
             return None
         return await self._wait_in_queue(pending)
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -6,6 +6,7 @@
 
 from borageramp_core import Notice, RatioBudget
 from borageramp_core.routing import (
+    RATE_LIMIT_BOUNDS,
     AnswerKind,
     DeadlineProfile,
     FleetState,
@@ -60,6 +61,7 @@
     ) -> None:
         self.bounds = bounds
         self.cold = cold
+        self._limited = RateAllowance(member=member, bounds=RATE_LIMIT_BOUNDS)
         self._member = member
         self._data_centre = data_centre
         self._on_removed = on_removed
@@ -79,6 +81,7 @@
         """Update all pools to the current state of the fleet."""
         self._entry_count = max(1, len(entries))
         self.cold.update_members(entries)
+        self._limited.update_members(entries)
         by_service: defaultdict[str, list[Registration]] = defaultdict(list)
         for registration in fleet_state.registrations():
             by_service[registration.service].append(registration)
@@ -93,6 +96,8 @@
                 now_s=now_s,
             )
             for upstream_id in removed_ids:
+                self.cold.forget(upstream_id)
+                self._limited.forget(upstream_id)
                 self._on_removed(previous_views[upstream_id])
 
     @property
@@ -114,6 +119,7 @@
                 member=self._member,
                 data_centre=self._data_centre,
                 cold=self.cold,
+                limited=self._limited,
                 rng=self._rng,
             )
             self._pools[service] = pool
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -12,7 +12,13 @@
 from borageramp_core.routing import AnswerKind, Route, WaitPolicy
 from tests.lib.overload_model import Caller, Entry, Request, Tally, Upstream
 from tests.lib.rate_limits import RateLimits
-from tests.lib.routed import make_cold, make_pool, make_registration, make_work
+from tests.lib.routed import (
+    make_cold,
+    make_limited,
+    make_pool,
+    make_registration,
+    make_work,
+)
 
 __all__ = ["Overload"]
 
@@ -91,6 +97,7 @@
                 pool=make_pool(
                     *(make_registration(n, slots=slots) for n in names),
                     cold=make_cold(entries, own=i),
+                    limited=make_limited(entries, own=i),
                     seed=seed * 1000 + i,
                     member=f"e{i}",
                 ),
@@ -297,6 +304,15 @@
             self._refuse(request.caller)
             return
         entry = request.entry
+        needed = request.wait_policy.requirements(
+            excluded=frozenset(), now_s=self._now_s
+        )
+        if not request.queued and not entry.pool.can_serve(
+            needed, queued=len(entry.queue), now_s=self._now_s
+        ):
+            self._refuse(request.caller)
+            return
+        request.queued = True
         entry.queue.push(
             request,
             rank=self._route.rank,
--- a/tests/lib/overload_model.py
+++ b/tests/lib/overload_model.py
@@ -79,6 +79,7 @@
     entry: Entry
     wait_policy: WaitPolicy
     caller: "Caller"
+    queued: bool = False
     upstream: str = ""
     sent_at_s: float = 0.0
     pace: float = 1.0
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -6,6 +6,7 @@
 
 from borageramp_core import LoadReport
 from borageramp_core.routing import (
+    RATE_LIMIT_BOUNDS,
     FleetState,
     Instance,
     PlacementRequirements,
@@ -119,10 +120,18 @@
     return cold
 
 
+def make_limited(members: int = 1, *, own: int = 0) -> RateAllowance:
+    """Return the allowance of entry ``own`` of ``members`` for limits named."""
+    limited = RateAllowance(member=f"e{own}", bounds=RATE_LIMIT_BOUNDS)
+    limited.update_members(frozenset(f"e{i}" for i in range(members)))
+    return limited
+
+
 def make_pool(
     *registrations: Registration,
     out: tuple[str, ...] = (),
     cold: RateAllowance | None = None,
+    limited: RateAllowance | None = None,
     seed: int = 1,
     member: str = "e0",
 ) -> ServicePool:
@@ -132,6 +141,7 @@
         member=member,
         data_centre=HERE,
         cold=cold or make_cold(),
+        limited=limited or make_limited(),
         rng=random.Random(seed),
     )
     pool.apply(
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -301,3 +301,18 @@
     refused = run(client, upstreams=1, timeout_s=60.0, requests=2)
     assert len(client.sent) == 1
     assert refused.verdict is Verdict.NOT_RUN and refused.retry_after_s >= 1.9
+
+
+def test_a_refusal_has_the_time_until_a_rate_limit_allows_the_next_request() -> None:
+    client = ScriptedClient(ShedWithNotice(Notice(rate_limit_hz=0.5)))
+    refused = run(client, upstreams=1, timeout_s=60.0, requests=2)
+    assert len(client.sent) == 1
+    # This entry uses at most the whole limit.
+    assert refused.verdict is Verdict.NOT_RUN and refused.retry_after_s >= 1.9
+
+
+def test_requests_over_the_rate_limit_of_an_upstream_go_to_others() -> None:
+    client = ScriptedClient(ShedWithNotice(Notice(rate_limit_hz=0.5)), *[200] * 6)
+    answer = run(client, upstreams=2, requests=6)
+    assert answer.body == b"body"
+    assert client.sent.count(client.sent[0]) == 1
--- a/tests/routed/test_notices.py
+++ b/tests/routed/test_notices.py
@@ -106,13 +106,13 @@
         send_notice(pool, Notice(pause_s=3.0), name=name, now_s=1.0)
     assert not pool.can_serve(make_requirements(max_response_s=2.0), now_s=1.0)
     assert pool.can_serve(make_requirements(max_response_s=4.0), now_s=1.0)
-    assert pool.pause_remaining_s(now_s=2.0) == pytest.approx(2.0)
+    assert pool.min_wait_s(now_s=2.0) == pytest.approx(2.0)
 
 
 def test_other_upstreams_take_the_load_of_a_paused_one() -> None:
     pool = make_pool(make_registration("u1"), make_registration("u2"))
     send_notice(pool, Notice(pause_s=3.0), now_s=1.0)
-    assert pool.pause_remaining_s(now_s=2.0) == 0.0
+    assert pool.min_wait_s(now_s=2.0) == 0.0
     assert is_used(pool, "u2", now_s=2.0)
 
 
