--- a/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
@@ -64,7 +64,6 @@
         members = members | {self._member}
         if members != frozenset(self._members):
             self._members = tuple(sorted(members))
-            self._buckets.clear()
             self._ranks.clear()
 
     def forget(self, upstream_id: str) -> None:
