--- a/packages/core/src/borageramp_core/_internal/budget.py
+++ b/packages/core/src/borageramp_core/_internal/budget.py
@@ -73,13 +73,23 @@
         self._filled_at_s = now_s
         return self._tokens >= 1.0
 
-    def wait_s(self, *, now_s: float) -> float:
-        """Return the time until there is a token; infinity if none will come."""
-        if self.has_token(now_s=now_s):
+    def wait_s(self, *, reserve: float = 0.0, now_s: float) -> float:
+        """Return the time until there is a token; infinity if none will come.
+
+        Parameters
+        ----------
+        reserve : float
+            Tokens that have to be left, as far as the capacity allows.
+        now_s : float
+            Present time.
+        """
+        self.has_token(now_s=now_s)
+        missing = max(1.0, min(self.burst, 1.0 + reserve)) - self._tokens
+        if missing <= 0.0:
             return 0.0
         if self.rate_hz <= 0.0:
             return float("inf")
-        return (1.0 - self._tokens) / self.rate_hz
+        return missing / self.rate_hz
 
     def tokens_within(self, duration_s: float, *, now_s: float) -> float:
         """Return the tokens that can be taken from now on for a time."""
--- a/packages/core/src/borageramp_core/_internal/routing/admission_queue.py
+++ b/packages/core/src/borageramp_core/_internal/routing/admission_queue.py
@@ -109,6 +109,10 @@
         max_wait_s = MAX_WAIT_SHARE * (self.deadline_s - self.arrived_at_s)
         return max(latest_in_time_s, self.arrived_at_s + max_wait_s)
 
+    def in_time_wait_s(self, *, now_s: float) -> float:
+        """Return for how long the request may wait and be in time; 0 if it is late."""
+        return max(0.0, self.objective_at_s - self.work_s - now_s)
+
     def is_late(self, *, now_s: float) -> bool:
         """Return whether the answer will probably be late."""
         return now_s > self.latest_start_s
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -138,14 +138,23 @@
         return now_s < self._full_until_s
 
     def can_serve(
-        self, requirements: PlacementRequirements, *, queued: int = 0, now_s: float
+        self,
+        requirements: PlacementRequirements,
+        *,
+        max_wait_s: float,
+        queued: int = 0,
+        now_s: float,
     ) -> bool:
         """Return whether any upstream can accept a request within its time limit.
 
-        ``queued`` is the number of requests that are placed before it.
+        See :meth:`UpstreamEligibility.can_serve`.
         """
         return self._eligibility.can_serve(
-            self.views.values(), requirements, queued=queued, now_s=now_s
+            self.views.values(),
+            requirements,
+            max_wait_s=max_wait_s,
+            queued=queued,
+            now_s=now_s,
         )
 
     def min_wait_s(self, *, now_s: float) -> float:
--- a/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
@@ -29,11 +29,14 @@
         Additional requests in a window.
     window_s : float
         Length of a window in seconds.
+    rate_share : float
+        Share of the rate limit itself that entries use.
     """
 
     overage: float = 1.5
     slack: float = 5.0
     window_s: float = 1.0
+    rate_share: float = 0.8
 
 
 class RateAllowance:
@@ -47,9 +50,8 @@
         Tolerance over all entries.
     """
 
-    # Shares of the rate limit and of the tolerance above it, which covers bursts;
-    # the rest covers differences between member lists.
-    RATE_SHARE = 0.8
+    # Share of the tolerance above the rate limit that covers bursts; the rest covers
+    # differences between member lists.
     BURST_SHARE = 0.5
 
     def __init__(self, *, member: str, bounds: RateBounds) -> None:
@@ -75,16 +77,29 @@
         """Take a token for a request to an upstream; return whether it had one."""
         return self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s).take(now_s=now_s)
 
-    def wait_s(self, upstream_id: str, *, rate_hz: float, now_s: float) -> float:
+    def wait_s(
+        self, upstream_id: str, *, rate_hz: float, reserve: float = 0.0, now_s: float
+    ) -> float:
         """Return the time until a request to an upstream is allowed.
 
+        Parameters
+        ----------
+        upstream_id : str
+            The upstream.
+        rate_hz : float
+            Its rate limit in requests per second, over all entries.
+        reserve : float
+            Tokens that have to be left for other requests.
+        now_s : float
+            Current time in seconds.
+
         Returns
         -------
         float
             Time in seconds; infinity if this entry has no share of the rate limit.
         """
         bucket = self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s)
-        return bucket.wait_s(now_s=now_s)
+        return bucket.wait_s(reserve=reserve, now_s=now_s)
 
     def requests_within(
         self, upstream_id: str, duration_s: float, *, rate_hz: float, now_s: float
@@ -129,9 +144,9 @@
     def _share(self, upstream_id: str, *, rate_hz: float) -> tuple[float, float]:
         """Return this entry's share of a rate limit, and its burst."""
         overage = rate_hz * (self.bounds.overage - 1.0) * self.bounds.window_s
-        burst_budget = int((overage + self.bounds.slack) * self.BURST_SHARE)
-        sharer_count = max(1, min(len(self._members), burst_budget))
+        burst_budget = (overage + self.bounds.slack) * self.BURST_SHARE
+        sharer_count = max(1, min(len(self._members), int(burst_budget)))
         if self._rank(upstream_id) >= sharer_count:
             return 0.0, 0.0
-        burst = max(1, burst_budget // sharer_count)
-        return self.RATE_SHARE * rate_hz / sharer_count, float(burst)
+        burst = max(1.0, burst_budget / sharer_count)
+        return self.bounds.rate_share * rate_hz / sharer_count, burst
--- a/packages/core/src/borageramp_core/_internal/routing/rate_limit.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_limit.py
@@ -9,7 +9,7 @@
 
 UNLIMITED_HZ = float("inf")
 # Tolerance of upstreams above the rate limit that they name.
-RATE_LIMIT_BOUNDS = RateBounds(overage=1.5, slack=5.0, window_s=4.0)
+RATE_LIMIT_BOUNDS = RateBounds(overage=1.5, slack=5.0, window_s=4.0, rate_share=1.0)
 
 
 class AnswerKind(enum.StrEnum):
--- a/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
@@ -15,6 +15,10 @@
 # ended it.
 RECHECK_INTERVAL_S = 1.0
 
+# Part of a token that late requests leave to those that can be in time: a share that
+# was not used for a while is not needed by these.
+LATE_TOKEN_RESERVE = 0.25
+
 _ANY_REQUEST = PlacementRequirements(work_s=0.0, max_response_s=0.0)
 
 
@@ -52,10 +56,15 @@
         pause_s = max(0.0, view.paused_until_s - now_s)
         return max(pause_s, self._limit_wait_s(view, now_s=now_s))
 
-    def _requests_in_time(
-        self, view: UpstreamView, requirements: PlacementRequirements, *, now_s: float
+    def _requests_within(
+        self,
+        view: UpstreamView,
+        requirements: PlacementRequirements,
+        *,
+        max_wait_s: float,
+        now_s: float,
     ) -> float:
-        """Return how many requests an upstream may get within their time limit.
+        """Return how many requests an upstream may get within their time limits.
 
         Returns
         -------
@@ -69,18 +78,20 @@
             return float("inf")
         return self._limited.requests_within(
             view.registration.id,
-            max(0.0, requirements.max_response_s - requirements.work_s),
+            max_wait_s,
             rate_hz=limit.hz,
             now_s=now_s,
         )
 
-    def _limit_wait_s(self, view: UpstreamView, *, now_s: float) -> float:
+    def _limit_wait_s(
+        self, view: UpstreamView, *, reserve: float = 0.0, now_s: float
+    ) -> float:
         """Return the wait for this entry's share of the limit that was named."""
         limit = view.rate_limit
         if not limit.in_force:
             return 0.0
         wait_s = self._limited.wait_s(
-            view.registration.id, rate_hz=limit.hz, now_s=now_s
+            view.registration.id, rate_hz=limit.hz, reserve=reserve, now_s=now_s
         )
         if wait_s == float("inf") and self._is_trial_due(view, now_s=now_s):
             return 0.0
@@ -108,13 +119,16 @@
         """Return whether an upstream may get a request now."""
         if not self.accepts(view, requirements) or view.is_paused(now_s=now_s):
             return False
-        return self._has_shares(view, now_s=now_s)
+        reserve = LATE_TOKEN_RESERVE if requirements.reserved_slots else 0.0
+        return self._has_shares(view, reserve=reserve, now_s=now_s)
 
-    def _has_shares(self, view: UpstreamView, *, now_s: float) -> bool:
+    def _has_shares(
+        self, view: UpstreamView, *, reserve: float = 0.0, now_s: float
+    ) -> bool:
         """Return whether the shares of this entry allow a request now."""
         waits_s = (
             self._cold_wait_s(view, now_s=now_s),
-            self._limit_wait_s(view, now_s=now_s),
+            self._limit_wait_s(view, reserve=reserve, now_s=now_s),
         )
         return max(waits_s) <= 0.0
 
@@ -123,17 +137,31 @@
         views: Iterable[UpstreamView],
         requirements: PlacementRequirements,
         *,
+        max_wait_s: float,
         queued: int,
         now_s: float,
     ) -> bool:
         """Return whether any upstream can accept a request within its time limit.
 
-        ``queued`` is the number of requests that are placed before it.
+        Parameters
+        ----------
+        views : iterable of UpstreamView
+            Upstreams of the service.
+        requirements : PlacementRequirements
+            Requirements of the request.
+        max_wait_s : float
+            Longest useful wait for a rate limit, in seconds.
+        queued : int
+            Requests that are placed before it.
+        now_s : float
+            Current time in seconds.
         """
         allowed = 0.0
         for view in views:
             if self.accepts(view, requirements):
-                allowed += self._requests_in_time(view, requirements, now_s=now_s)
+                allowed += self._requests_within(
+                    view, requirements, max_wait_s=max_wait_s, now_s=now_s
+                )
             if allowed > queued:
                 return True
         return False
--- a/packages/entry/src/borageramp_entry/_internal/routed/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placement.py
@@ -119,7 +119,12 @@
         if not wait or now_s >= pending.wait_policy.wait_until_s:
             return None
         requirements = pending.requirements(now_s=now_s)
-        if not self.pool.can_serve(requirements, queued=self.queued_count, now_s=now_s):
+        if not self.pool.can_serve(
+            requirements,
+            max_wait_s=pending.wait_policy.in_time_wait_s(now_s=now_s),
+            queued=self.queued_count,
+            now_s=now_s,
+        ):
             return None
         return await self._wait_in_queue(pending)
 
