--- a/tests/routed/test_cold.py
+++ b/tests/routed/test_cold.py
@@ -42,3 +42,18 @@
 def test_a_cold_upstream_gets_most_of_its_rate_limit() -> None:
     entries = [make_cold(14, own=i) for i in range(14)]
     assert max_arrivals_per_second(entries, ramp_hz=RAMP_HZ) >= 0.7 * RAMP_HZ
+
+
+# Guards against the rate of an earlier configuration that stays in force.
+@pytest.mark.parametrize(("before_hz", "after_hz"), [(100.0, 2.0), (2.0, 100.0)])
+def test_a_changed_rate_limit_is_in_force_at_once(
+    before_hz: float, after_hz: float
+) -> None:
+    entry = make_cold(1)
+    for step in range(100):
+        entry.take("u1", rate_hz=before_hz, now_s=step * STEP_S)
+    taken = sum(
+        entry.take("u1", rate_hz=after_hz, now_s=1.0 + step * STEP_S)
+        for step in range(100)
+    )
+    assert 0.5 * after_hz <= taken <= 1.5 * after_hz + 5.0
