--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -139,6 +139,7 @@
             own=self._own_instance,
             ready_path=self._platform.directory.ready_path,
             store_age_s=self._fleet_state_task.age_s,
+            on_gone=self._apply_to_pools,
             rng=self._rng,
         )
 
@@ -209,34 +210,33 @@
 
     def _add_gauges(self, metrics: "Metrics") -> None:
         gauge = metrics.gauge
-        gauge("borageramp_in_flight", "Requests under way.", self._in_flight)
+        gauge(
+            "borageramp_in_flight",
+            "Requests under way.",
+            lambda: self._handler.in_flight,
+        )
         gauge(
             "borageramp_store_age",
             "Seconds since the store last answered.",
             self._fleet_state_task.age_s,
         )
-        gauge(
-            "borageramp_probes_sent", "Probes sent.", lambda: float(self._prober.sent)
-        )
+        gauge("borageramp_probes_sent", "Probes sent.", lambda: self._prober.sent)
         gauge(
             "borageramp_upstream_connections",
             "Connections opened to upstreams.",
-            lambda: float(self._client.opened),
+            lambda: self._client.opened,
         )
         gauge(
             "borageramp_limited_upstreams",
             "Upstreams with a rate limit in force.",
-            lambda: float(self._pools.limited_upstream_count),
+            lambda: self._pools.limited_upstream_count,
         )
         gauge(
             "borageramp_limited_attempts",
             "Attempts on upstreams with a rate limit in force.",
-            lambda: float(self._pools.limited_attempts),
+            lambda: self._pools.limited_attempts,
         )
 
-    def _in_flight(self) -> float:
-        return float(self._handler.in_flight)
-
     def _read_item(self, item: Item) -> StateItem | None:
         return decode_record(item) or self._platform.read_item(item)
 
@@ -260,9 +260,7 @@
             self._config_received.set()
         self._instances.update(fleet_state.instances())
         self._relays.update(fleet_state.instances())
-        self._pools.apply(
-            fleet_state, entries=self._instances.names(), now_s=self._clock()
-        )
+        self._apply_to_pools()
         for suspect in fleet_state.crash_suspects():
             self._crashes.merge(suspect)
         if fleet_state.config is not None:
@@ -278,6 +276,13 @@
             instances=len(listed),
         )
 
+    def _apply_to_pools(self) -> None:
+        self._pools.apply(
+            self._fleet_state_task.fleet_state,
+            entries=self._instances.names(),
+            now_s=self._clock(),
+        )
+
     def reload(self) -> None:
         """Reload the settings that may change while the process runs."""
         try:
--- a/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
@@ -51,6 +51,8 @@
         Path of the readiness check.
     store_age_s : callable
         Returns the time in seconds since the last contact with the store.
+    on_gone : callable
+        Called when an instance whose registration lapsed turns out to be gone.
     rng : random.Random
         Random number generator to sample the instances to check.
     """
@@ -61,11 +63,13 @@
         own: Instance,
         ready_path: bytes,
         store_age_s: Callable[[], float],
+        on_gone: Callable[[], None],
         rng: random.Random,
     ) -> None:
         self._own = own
         self._ready_path = ready_path
         self._store_age_s = store_age_s
+        self._on_gone = on_gone
         self._rng = rng
         self._registered: dict[str, Instance] = {}
         self._lapsed: dict[str, Instance] = {}
@@ -142,6 +146,7 @@
         if instance.name in self._lapsed:
             del self._lapsed[instance.name]
             _log.info("instance gone", instance=instance.name, why="not ready")
+            self._on_gone()
         elif instance.name not in self._not_ready:
             self._not_ready.add(instance.name)
             _log.info("instance down", instance=instance.name, why="not ready")
--- a/tests/routed/test_listing.py
+++ b/tests/routed/test_listing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -201,8 +202,11 @@
     assert run_simulated(run()) == 3
 
 
+DEAD = {"i4"}
+
+
 def make_directory(
-    others: int, *, age_s: float = 0.0
+    others: int, *, age_s: float = 0.0, on_gone: Callable[[], None] = lambda: None
 ) -> tuple[InstanceDirectory, list[Any]]:
     """Return a directory, and the names of the instances that it checks."""
     checked: list[Any] = []
@@ -210,12 +214,13 @@
     class StubDirectory(InstanceDirectory):
         async def _is_ready(self, instance: Instance) -> bool:
             checked.append(instance.name)
-            return instance.name != "dead"
+            return instance.name not in DEAD
 
     directory = StubDirectory(
         own=make_instance("own"),
         ready_path=b"/ready",
         store_age_s=lambda: age_s,
+        on_gone=on_gone,
         rng=random.Random(1),
     )
     directory.update(make_instance(f"i{i}") for i in range(others))
@@ -267,3 +272,11 @@
     directory, _ = make_directory(100, age_s=10.0)
     remove_instances(directory, "i3", others=100)
     assert "i3" in usable_names(directory)
+
+
+# Guards against shares of a rate that stay with an instance that is gone.
+def test_shares_are_dealt_out_anew_when_a_lapsed_instance_is_gone() -> None:
+    seen: list[frozenset[str]] = []
+    directory, _ = make_directory(5, on_gone=lambda: seen.append(directory.names()))
+    remove_instances(directory, "i3", "i4", others=5)
+    assert seen == [frozenset({"own", "i0", "i1", "i2", "i3"})]
