--- a/packages/core/src/borageramp_core/_internal/budget.py
+++ b/packages/core/src/borageramp_core/_internal/budget.py
@@ -108,10 +108,24 @@
             return float("inf")
         return missing / self.rate_hz
 
-    def tokens_within(self, duration_s: float, *, now_s: float) -> float:
-        """Return the tokens that can be taken from now on for a time."""
+    def tokens_within(
+        self, duration_s: float, *, reserve: float = 0.0, now_s: float
+    ) -> int:
+        """Return how many tokens can be taken within a time.
+
+        Parameters
+        ----------
+        duration_s : float
+            Length of the time from now on, in seconds.
+        reserve : float
+            Tokens that have to be left, as far as the capacity allows.
+        now_s : float
+            Present time.
+        """
         self.has_token(now_s=now_s)
-        return self._tokens + self.rate_hz * duration_s
+        left = min(reserve, max(0.0, self.burst - 1.0))
+        # Rounded, as a full bucket less the reserve has to come to a whole token.
+        return int(round(self._tokens + self.rate_hz * duration_s - left, 9))
 
     def set_rate(self, rate_hz: float, *, burst: float, now_s: float) -> None:
         """Change rate and capacity; tokens gained so far are kept."""
--- a/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
@@ -102,11 +102,20 @@
         return bucket.wait_s(reserve=reserve, now_s=now_s)
 
     def requests_within(
-        self, upstream_id: str, duration_s: float, *, rate_hz: float, now_s: float
+        self,
+        upstream_id: str,
+        duration_s: float,
+        *,
+        rate_hz: float,
+        reserve: float = 0.0,
+        now_s: float,
     ) -> int:
-        """Return how many requests are allowed to an upstream within a time."""
+        """Return how many requests are allowed to an upstream within a time.
+
+        See :meth:`wait_s` for the parameters.
+        """
         bucket = self._bucket(upstream_id, rate_hz=rate_hz, now_s=now_s)
-        return int(bucket.tokens_within(duration_s, now_s=now_s))
+        return bucket.tokens_within(duration_s, reserve=reserve, now_s=now_s)
 
     def has_turn(self, upstream_id: str, *, elapsed_s: float, turn_s: float) -> bool:
         """Return whether a round over all entries has reached this one.
--- a/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
@@ -80,6 +80,7 @@
             view.registration.id,
             max_wait_s,
             rate_hz=limit.hz,
+            reserve=_token_reserve(requirements),
             now_s=now_s,
         )
 
@@ -119,8 +120,7 @@
         """Return whether an upstream may get a request now."""
         if not self.accepts(view, requirements) or view.is_paused(now_s=now_s):
             return False
-        reserve = LATE_TOKEN_RESERVE if requirements.reserved_slots else 0.0
-        return self._has_shares(view, reserve=reserve, now_s=now_s)
+        return self._has_shares(view, reserve=_token_reserve(requirements), now_s=now_s)
 
     def _has_shares(
         self, view: UpstreamView, *, reserve: float = 0.0, now_s: float
@@ -215,3 +215,8 @@
         ):
             limit.trial_at_s = now_s
         return True
+
+
+def _token_reserve(requirements: PlacementRequirements) -> float:
+    """Return the part of a token that a request has to leave to others."""
+    return LATE_TOKEN_RESERVE if requirements.reserved_slots else 0.0
--- a/packages/entry/src/borageramp_entry/_internal/routed/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placement.py
@@ -115,19 +115,21 @@
             choice = await self._find_upstream(pending)
             if choice is not None:
                 return choice
-        now_s = self._clock()
-        if not wait or now_s >= pending.wait_policy.wait_until_s:
-            return None
-        requirements = pending.requirements(now_s=now_s)
-        if not self.pool.can_serve(
-            requirements,
-            max_wait_s=pending.wait_policy.in_time_wait_s(now_s=now_s),
-            queued=self.queued_count,
-            now_s=now_s,
-        ):
+        if not wait or not self._may_wait(pending, queued=self.queued_count):
             return None
         return await self._wait_in_queue(pending)
 
+    def _may_wait(self, pending: PendingPlacement, *, queued: int) -> bool:
+        """Return whether a request may be served by waiting behind others."""
+        now_s = self._clock()
+        policy = pending.wait_policy
+        return now_s < policy.wait_until_s and self.pool.can_serve(
+            pending.requirements(now_s=now_s),
+            max_wait_s=policy.in_time_wait_s(now_s=now_s),
+            queued=queued,
+            now_s=now_s,
+        )
+
     def _must_queue(self, pending: PendingPlacement) -> bool:
         """Return whether other requests go before this one."""
         now_s = self._clock()
@@ -192,7 +194,7 @@
     ) -> None:
         if future.done():
             self._release(choice)
-        elif choice is not None or self._clock() >= pending.wait_policy.wait_until_s:
+        elif choice is not None or not self._may_wait(pending, queued=0):
             future.set_result(choice)
         else:
             self._enqueue(pending, future)
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -299,22 +299,22 @@
         if not self._place(request):
             self._wait(request)
 
+    def _may_wait(self, request: Request) -> bool:
+        policy, entry = request.wait_policy, request.entry
+        return self._now_s < policy.wait_until_s and entry.pool.can_serve(
+            policy.requirements(excluded=frozenset(), now_s=self._now_s),
+            max_wait_s=policy.in_time_wait_s(now_s=self._now_s),
+            queued=0 if request.queued else len(entry.queue),
+            now_s=self._now_s,
+        )
+
     def _wait(self, request: Request) -> None:
-        if self._now_s >= request.wait_policy.wait_until_s:
+        if not self._may_wait(request):
+            held_s = self._now_s - request.wait_policy.arrived_at_s
+            self._tally.longest_hold_s = max(self._tally.longest_hold_s, held_s)
             self._refuse(request.caller)
             return
         entry = request.entry
-        needed = request.wait_policy.requirements(
-            excluded=frozenset(), now_s=self._now_s
-        )
-        if not request.queued and not entry.pool.can_serve(
-            needed,
-            max_wait_s=request.wait_policy.in_time_wait_s(now_s=self._now_s),
-            queued=len(entry.queue),
-            now_s=self._now_s,
-        ):
-            self._refuse(request.caller)
-            return
         request.queued = True
         entry.queue.push(
             request,
--- a/tests/lib/overload_model.py
+++ b/tests/lib/overload_model.py
@@ -25,12 +25,15 @@
         Number of requests by outcome.
     connections : int
         Connections to upstreams opened, for probes and requests.
+    longest_hold_s : float
+        Longest time from the arrival of a request until it was refused.
     """
 
     in_time: int = 0
     late: int = 0
     refused: int = 0
     connections: int = 0
+    longest_hold_s: float = 0.0
 
     @property
     def requests(self) -> int:
--- a/tests/routed/test_rate_limits.py
+++ b/tests/routed/test_rate_limits.py
@@ -119,6 +119,14 @@
     assert tally.share_in_time > 0.99
 
 
+# Guards against urgent requests that wait for a rate limit until they are refused.
+def test_a_request_waits_for_a_rate_limit_no_longer_than_it_can_be_in_time() -> None:
+    _, tally = run_limited(Fleet(limited=20, limit_hz=1.2), returns=2)
+    objective_s, work_s, poll_s = 0.6, 0.22, 0.05
+    assert tally.refused > 0
+    assert tally.longest_hold_s <= objective_s - work_s + poll_s
+
+
 def test_callers_that_come_back_do_not_use_up_the_rate_limits() -> None:
     fleet = Fleet(limited=20, limit_hz=1.2)
     _, tally = run_limited(fleet, returns=2)
