--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -9,6 +9,7 @@
 
 from borageramp_core._internal.messages import AttemptResult, LoadReport, Notice
 from borageramp_core._internal.outliers import Outliers
+from borageramp_core._internal.routing.kept_notices import KeptNotices
 from borageramp_core._internal.routing.model import Registration, RoutedService
 from borageramp_core._internal.routing.placement import (
     PlacementChoice,
@@ -21,7 +22,6 @@
 from borageramp_core._internal.routing.upstream_eligibility import UpstreamEligibility
 from borageramp_core._internal.routing.upstream_view import (
     LoadSnapshot,
-    UpstreamIncarnation,
     UpstreamView,
     incarnation_of,
     new_view,
@@ -47,8 +47,6 @@
 OWN_REQUEST_PENALTY_FACTOR = 0.5
 MAX_EJECTED_SHARE = 0.5
 FULL_HOLD_S = 0.5  # Time a service counts as full after a request found no capacity.
-# The store entry of a leaving upstream may lapse and return while it still serves.
-LEAVE_NOTICE_TTL_S = 600.0
 
 
 class ServicePool:
@@ -88,7 +86,7 @@
         self._data_centre = data_centre
         self._eligibility = UpstreamEligibility(cold=cold, limited=limited)
         self._rng = rng
-        self._leave_notice_at_s: dict[UpstreamIncarnation, float] = {}
+        self._kept_notices = KeptNotices()
         self._full_until_s = float("-inf")
 
     def apply(
@@ -109,6 +107,7 @@
         self._eligibility.evacuated_data_centres = evacuated_data_centres
         ramp_hz = settings.ramp_hz if settings is not None else 0.0
         previous = self.views
+        new_views = []
         self.views = {}
         for registration in registrations:
             view = previous.get(registration.id)
@@ -116,18 +115,19 @@
                 registration
             ):
                 view = new_view(registration, now_s=now_s)
-                view.leaving = incarnation_of(registration) in self._leave_notice_at_s
+                new_views.append(view)
             view.registration = registration
             view.ramp_hz = ramp_hz
             self.views[registration.id] = view
         self.outliers.retain(v.upstream.id for v in self.views.values())
         self.shortlist.update(self.views.values())
-        self._leave_notice_at_s = {
-            incarnation: at_s
-            for incarnation, at_s in self._leave_notice_at_s.items()
-            if now_s - at_s < LEAVE_NOTICE_TTL_S
-        }
-        return [k for k, v in previous.items() if self.views.get(k) is not v]
+        removed = [v for k, v in previous.items() if self.views.get(k) is not v]
+        for view in removed:
+            self._kept_notices.on_removed(view, now_s=now_s)
+        for view in new_views:
+            self._kept_notices.restore(view)
+        self._kept_notices.expire(now_s=now_s)
+        return [v.registration.id for v in removed]
 
     def on_no_capacity(self, *, now_s: float) -> None:
         """Record that a request that could meet its objective was not placed."""
@@ -395,5 +395,5 @@
         previous = (view.leaving, view.is_paused(now_s=now_s))
         view.on_notice(notice, now_s=now_s)
         if notice.leaving:
-            self._leave_notice_at_s[incarnation_of(view.registration)] = now_s
+            self._kept_notices.on_leaving(view, now_s=now_s)
         return previous != (view.leaving, view.is_paused(now_s=now_s))
--- a/tests/routed/test_notices.py
+++ b/tests/routed/test_notices.py
@@ -5,7 +5,7 @@
 import pytest
 
 from borageramp_core import Notice
-from borageramp_core.routing import ServicePool
+from borageramp_core.routing import AnswerKind, ServicePool
 from borageramp_platform.messages import Upstreams
 from tests.lib.routed import (
     make_pool,
@@ -67,6 +67,19 @@
     assert not is_used(pool, now_s=3.0)
 
 
+# Guards against a limit that is exceeded after an outage of the store.
+def test_a_rate_limit_outlasts_a_lapsed_registration() -> None:
+    pool = make_pool(make_registration(started_ms=1))
+    pool.views["u1"].rate_limit.on_answer(
+        3.0, kind=AnswerKind.REQUEST, sent_at_s=1.0, now_s=1.0
+    )
+    apply(pool, now_s=2.0)
+    apply(pool, make_registration(started_ms=1), now_s=3.0)
+    assert pool.views["u1"].rate_limit.hz == 3.0
+    apply(pool, make_registration(started_ms=2), now_s=4.0)
+    assert not pool.views["u1"].rate_limit.in_force
+
+
 def test_a_new_incarnation_under_the_same_name_is_used() -> None:
     pool = make_pool(make_registration(started_ms=1))
     send_notice(pool, LEAVING, now_s=1.0)
