--- a/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
+++ b/packages/core/src/borageramp_core/_internal/routing/rate_allowance.py
@@ -154,6 +154,7 @@
         """Return this entry's share of a rate limit, and its burst."""
         overage = rate_hz * (self.bounds.overage - 1.0) * self.bounds.window_s
         burst_budget = (overage + self.bounds.slack) * self.BURST_SHARE
+        # Each sharer has to be able to save up one request.
         sharer_count = max(1, min(len(self._members), int(burst_budget)))
         if self._rank(upstream_id) >= sharer_count:
             return 0.0, 0.0
--- a/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
+++ b/packages/core/src/borageramp_core/_internal/routing/upstream_eligibility.py
@@ -51,7 +51,7 @@
             return False
         return view.registration.id not in requirements.excluded
 
-    def wait_s(self, view: UpstreamView, *, now_s: float) -> float:
+    def _wait_s(self, view: UpstreamView, *, now_s: float) -> float:
         """Return the least time for which an upstream gets no requests."""
         pause_s = max(0.0, view.paused_until_s - now_s)
         return max(pause_s, self._limit_wait_s(view, now_s=now_s))
@@ -71,7 +71,7 @@
         float
             Infinity if neither a pause nor a rate limit is in the way.
         """
-        if self.wait_s(view, now_s=now_s) >= requirements.max_response_s:
+        if self._wait_s(view, now_s=now_s) >= requirements.max_response_s:
             return 0.0
         limit = view.rate_limit
         if not limit.in_force:
@@ -176,7 +176,7 @@
             neither is in the way, or if this entry has no share of any limit.
         """
         waits_s = (
-            self.wait_s(view, now_s=now_s)
+            self._wait_s(view, now_s=now_s)
             for view in views
             if self.accepts(view, _ANY_REQUEST)
         )
