--- a/tools/check.py
+++ b/tools/check.py
@@ -58,7 +58,8 @@
 def junit(tally: Tally, path: Path, red: set[str]) -> None:
     """Count the tests of a JUnit file."""
     for case in ElementTree.parse(path).getroot().iter("testcase"):
-        name = f"{case.get('classname')}::{case.get('name')}"
+        # Names of scenario outlines end with a space.
+        name = f"{case.get('classname')}::{case.get('name')}".strip()
         bad = case.find("failure") is not None or case.find("error") is not None
         skipped = case.find("skipped") is not None
         tally.add(name, passed=not bad and not skipped, known_red=red)
