Log and count how long an instance has heard of no changes

Change: "knowledge changed" names its source, the time since the answer before, and the time that putting it in force took; "relay left" says since when nobody has told anything; gauges borageramp_changes_age and borageramp_watch_age. No decision uses them.

Measured: 27 tests of the source, fleet state, process and boundary pass, two of them new; static checks pass.

--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import uuid
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from borageramp_core.routing import (
     Instance,
@@ -42,9 +42,6 @@
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
 from borageramp_entry._internal.store.base import Item
 
-if TYPE_CHECKING:
-    from borageramp_entry._internal.metrics import Metrics
-
 __all__ = ["RoutedApp"]
 
 _log = get_logger(__name__)
@@ -199,44 +196,24 @@
         """
         await asyncio.sleep(METRICS_START_DELAY_S)
         from borageramp_entry._internal.metrics import Metrics
+        from borageramp_entry._internal.routed.gauges import add_gauges
 
         metrics = Metrics(
             name=self._own_instance.name, data_centre=self._own_instance.data_centre
         )
-        self._add_gauges(metrics)
+        add_gauges(
+            metrics,
+            handler=self._handler,
+            fleet_state_task=self._fleet_state_task,
+            source=self._source,
+            prober=self._prober,
+            client=self._client,
+            pools=self._pools,
+        )
         self._handler.metrics = metrics
         resource = MetricsResource(metrics=metrics)
         await self._start_internal_server(self._settings.metrics_address, resource)
 
-    def _add_gauges(self, metrics: "Metrics") -> None:
-        gauge = metrics.gauge
-        gauge(
-            "borageramp_in_flight",
-            "Requests under way.",
-            lambda: self._handler.in_flight,
-        )
-        gauge(
-            "borageramp_store_age",
-            "Seconds since the store last answered.",
-            self._fleet_state_task.age_s,
-        )
-        gauge("borageramp_probes_sent", "Probes sent.", lambda: self._prober.sent)
-        gauge(
-            "borageramp_upstream_connections",
-            "Connections opened to upstreams.",
-            lambda: self._client.opened,
-        )
-        gauge(
-            "borageramp_limited_upstreams",
-            "Upstreams with a rate limit in force.",
-            lambda: self._pools.limited_upstream_count,
-        )
-        gauge(
-            "borageramp_limited_attempts",
-            "Attempts on upstreams with a rate limit in force.",
-            lambda: self._pools.limited_attempts,
-        )
-
     def _read_item(self, item: Item) -> StateItem | None:
         return decode_record(item) or self._platform.read_item(item)
 
@@ -255,6 +232,7 @@
         _log.info("upstream gone", upstream=view.registration.id)
 
     def _on_fleet_state_change(self) -> None:
+        began_at_s = self._clock()
         fleet_state = self._fleet_state_task.fleet_state
         if fleet_state.config is not None:
             self._config_received.set()
@@ -274,6 +252,9 @@
             data_centres_out=sorted(fleet_state.evacuated_data_centres()),
             upstreams=self._pools.upstream_count,
             instances=len(listed),
+            source=self._source.source_name,
+            answer_gap_ms=round(self._source.answer_gap_s * 1000),
+            took_ms=round((self._clock() - began_at_s) * 1000, 1),
         )
 
     def _apply_to_pools(self) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -40,6 +40,7 @@
 MAX_POLLING_INSTANCES = 48
 IDLE_TIMEOUT_S = 5.0
 STATUS_OK = 200
+STORE_NAME = "store"
 
 
 class RelayUnavailableError(Exception):
@@ -67,6 +68,13 @@
     on_watch_started : callable, optional
         Called when this instance starts to watch the store, so that its contact
         with the store is checked before other instances poll it.
+
+    Attributes
+    ----------
+    source_name : str
+        Name of the relay that answered last, or ``store``; empty at first.
+    answer_gap_s : float
+        Time in seconds between that answer and the one before.
     """
 
     def __init__(
@@ -90,6 +98,10 @@
         self._watching_store = False
         self._polling_instances = 0
         self._last_contact_at_s = float("-inf")
+        self.source_name = ""
+        self.answer_gap_s = 0.0
+        self._confirmed_at_s = clock()
+        self._watch_answered_at_s = clock()
         self._store_backoff_until_s = float("-inf")
         self._relay_backoff_until_s: dict[str, float] = {}
 
@@ -98,6 +110,30 @@
         """Whether this instance watches the store, and serves changes if in contact."""
         return self._watching_store
 
+    def unconfirmed_s(self) -> float:
+        """Return the time in seconds since the store or a relay told of changes.
+
+        An answer that nothing has changed counts; a lease renewal doesn't.
+        """
+        return self._clock() - self._confirmed_at_s
+
+    def watch_age_s(self) -> float:
+        """Return the time in seconds since the watch of the store was answered.
+
+        Returns
+        -------
+        float
+            0 if this instance doesn't watch the store.
+        """
+        if not self._watching_store:
+            return 0.0
+        return self._clock() - self._watch_answered_at_s
+
+    def _on_answer(self, source_name: str) -> None:
+        self.source_name = source_name
+        self.answer_gap_s = self.unconfirmed_s()
+        self._confirmed_at_s = self._clock()
+
     def on_contact(self) -> None:
         """Record a response from the store."""
         self._last_contact_at_s = self._clock()
@@ -144,12 +180,15 @@
     async def _watch_store(self, after: int) -> AsyncGenerator[Change, None]:
         self._change_log.reset(after)
         self._watching_store = True
+        self._watch_answered_at_s = self._clock()
         self._on_watch_started()
         try:
             async for change in self._store.watch(
                 self._prefix, from_revision=after + 1
             ):
                 self.on_contact()
+                self._on_answer(STORE_NAME)
+                self._watch_answered_at_s = self._clock()
                 self._change_log.append(change)
                 yield change
                 if change.written or change.deleted:
@@ -177,8 +216,14 @@
                 self._relay_backoff_until_s[relay.name] = (
                     self._clock() + FAILED_SOURCE_BACKOFF_S
                 )
-                _log.info("relay left", instance=relay.name, why=str(error))
+                _log.info(
+                    "relay left",
+                    instance=relay.name,
+                    why=str(error),
+                    unconfirmed_ms=round(self.unconfirmed_s() * 1000),
+                )
                 return
+            self._on_answer(relay.name)
             after = max(after, change.revision)
             yield change
 
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -0,0 +1,57 @@
+"""Gauges of a routed entry."""
+
+from borageramp_entry._internal.metrics import Metrics
+from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
+from borageramp_entry._internal.routed.change_source import ChangeSource
+from borageramp_entry._internal.routed.fleet_state import FleetStateTask
+from borageramp_entry._internal.routed.pools import PoolRegistry
+from borageramp_entry._internal.routed.prober import Prober
+from borageramp_entry._internal.serving.upstreams import UpstreamClient
+
+__all__ = ["add_gauges"]
+
+
+def add_gauges(
+    metrics: Metrics,
+    *,
+    handler: CallerRequestHandler,
+    fleet_state_task: FleetStateTask,
+    source: ChangeSource,
+    prober: Prober,
+    client: UpstreamClient,
+    pools: PoolRegistry,
+) -> None:
+    """Add the gauges of an entry; they are read when scraped."""
+    gauge = metrics.gauge
+    gauge("borageramp_in_flight", "Requests under way.", lambda: handler.in_flight)
+    gauge(
+        "borageramp_store_age",
+        "Seconds since the store last answered.",
+        fleet_state_task.age_s,
+    )
+    gauge(
+        "borageramp_changes_age",
+        "Seconds since the store or a relay last told of changes.",
+        source.unconfirmed_s,
+    )
+    gauge(
+        "borageramp_watch_age",
+        "Seconds since the watch of the store was answered; 0 without one.",
+        source.watch_age_s,
+    )
+    gauge("borageramp_probes_sent", "Probes sent.", lambda: prober.sent)
+    gauge(
+        "borageramp_upstream_connections",
+        "Connections opened to upstreams.",
+        lambda: client.opened,
+    )
+    gauge(
+        "borageramp_limited_upstreams",
+        "Upstreams with a rate limit in force.",
+        lambda: pools.limited_upstream_count,
+    )
+    gauge(
+        "borageramp_limited_attempts",
+        "Attempts on upstreams with a rate limit in force.",
+        lambda: pools.limited_attempts,
+    )
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -178,6 +178,35 @@
     run(test)
 
 
+# Guards against an instance that hears of no changes and looks well in its metrics.
+def test_lease_renewals_do_not_count_as_changes() -> None:
+    async def test(store: FakeStore) -> None:
+        async with running_follower(store, is_relay=True) as relay:
+            store.put("a", b"1")
+            await relay.wait_until_received("a")
+            relay.clock_offset_s += 5.0
+            relay.source.on_contact()
+            assert relay.source.unconfirmed_s() >= 5.0
+            assert relay.source.watch_age_s() >= 5.0
+
+    run(test)
+
+
+def test_an_answer_without_changes_counts() -> None:
+    async def test(store: FakeStore) -> None:
+        async with (
+            running_follower(store, is_relay=True) as relay,
+            running_peer(serve_changes_of(relay)) as address,
+            running_follower(store, relays=[address]) as follower,
+        ):
+            await asyncio.sleep(1.2)
+            assert follower.source.unconfirmed_s() < 0.6
+            assert follower.source.source_name == "relay-0"
+            assert follower.source.watch_age_s() == 0.0
+
+    run(test)
+
+
 def test_a_relay_serves_a_bounded_number_of_instances() -> None:
     """Instances that lose their relays at once spread to others, or to the store."""
 
