--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncGenerator, Callable
+from typing import Protocol
 
 from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
 from borageramp_core.routing import Instance, RelayPlan
@@ -20,7 +21,7 @@
 from borageramp_entry._internal.serving.http_response import BrokenExchangeError
 from borageramp_entry._internal.store.base import Change, Store
 
-__all__ = ["CHANGES_PATH", "ChangeSource", "RelayUnavailableError"]
+__all__ = ["CHANGES_PATH", "ChangeSource", "PeerClient", "RelayUnavailableError"]
 
 _log = get_logger(__name__)
 
@@ -47,6 +48,32 @@
     """An instance can't relay store changes at the moment."""
 
 
+class PeerResponse(Protocol):
+    """Response of another instance."""
+
+    status: int
+
+    async def read_all(self) -> bytes:
+        """Return the whole body."""
+
+
+class PeerClient(Protocol):
+    """Sends requests to other instances; see :class:`HttpClient`."""
+
+    async def request(
+        self,
+        place: tuple[str, int],
+        method: str,
+        path: str,
+        *,
+        connect_timeout_s: float,
+    ) -> PeerResponse:
+        """Send a request and wait for the head of its response."""
+
+    def close(self) -> None:
+        """Close the connections."""
+
+
 class ChangeSource:
     """Stream of store changes, from a store watch or through a relay.
 
@@ -68,6 +95,8 @@
     on_watch_started : callable, optional
         Called when this instance starts to watch the store, so that its contact
         with the store is checked before other instances poll it.
+    peers : PeerClient, optional
+        Client for the relays; by default one over HTTP.
 
     Attributes
     ----------
@@ -86,6 +115,7 @@
         gather_s: float,
         clock: Callable[[], float],
         on_watch_started: Callable[[], None] = lambda: None,
+        peers: PeerClient | None = None,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -93,7 +123,7 @@
         self._gather_s = gather_s
         self._clock = clock
         self._on_watch_started = on_watch_started
-        self._http = HttpClient(idle_s=IDLE_TIMEOUT_S, max_idle=1)
+        self._peers = peers or HttpClient(idle_s=IDLE_TIMEOUT_S, max_idle=1)
         self._change_log = ChangeLog()
         self._watching_store = False
         self._polling_instances = 0
@@ -232,7 +262,7 @@
         path = f"{CHANGES_PATH}?after={after}&wait_s={POLL_WAIT_S}"
         try:
             async with asyncio.timeout(POLL_WAIT_S + RESPONSE_TIMEOUT_S):
-                response = await self._http.request(
+                response = await self._peers.request(
                     split_address(relay.peer_address),
                     "GET",
                     path,
@@ -286,4 +316,4 @@
 
     def close(self) -> None:
         """Close the connections to relays."""
-        self._http.close()
+        self._peers.close()
--- /dev/null
+++ b/tests/routed/test_fleet_changes.py
@@ -0,0 +1,88 @@
+"""Time in which a simulated fleet puts changes of the store in force."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tests.lib.simulated_fleet import SimulatedFleet
+from tests.lib.simulated_time import run_simulated
+
+# Instances by data centre, and the time within which a change must be in force.
+SMALL = ({"a": 5, "b": 5, "c": 4}, 2.0)
+GROWN = ({"a": 48, "b": 46, "c": 42}, 2.5)
+EVACUATION_LIMIT_S = 5.0
+# Share of the limit for which changes are gathered, as the platform's adapter sets it.
+GATHER_SHARE = 0.4
+# Longest time that most instances stay silent; longer than their leases.
+SILENCE_S = 12.0
+SILENT_BEFORE_S = (0.05, 1.0)
+
+Sizes = tuple[dict[str, int], float]
+Silence = Callable[[SimulatedFleet], None]
+
+
+def play_changes(sizes: Sizes, silence: Silence, *, before_s: float) -> list[float]:
+    """Return the delays of a configuration and an evacuation, over their limits.
+
+    Parameters
+    ----------
+    sizes : tuple
+        Instances by data centre, and the limit of a configuration in seconds.
+    silence : callable
+        Makes a part of the fleet silent.
+    before_s : float
+        Time from then to the changes.
+    """
+    instances, limit_s = sizes
+
+    async def run() -> list[float]:
+        fleet = SimulatedFleet(sizes=instances, gather_s=GATHER_SHARE * limit_s)
+        async with fleet.running():
+            silence(fleet)
+            await asyncio.sleep(before_s)
+            changed_at_s = fleet.configure(5)
+            fleet.evacuate("a")
+            await asyncio.sleep(SILENCE_S)
+            delays = (
+                (fleet.delays_s(5, since_s=changed_at_s), limit_s),
+                (fleet.delays_s("a", since_s=changed_at_s), EVACUATION_LIMIT_S),
+            )
+            return [d for by, most_s in delays for d in by.values() if d > most_s]
+
+    return run_simulated(run())
+
+
+def freeze_relays(fleet: SimulatedFleet) -> None:
+    fleet.silent = {m.name for m in fleet.relays()}
+
+
+def cut_off_relays(fleet: SimulatedFleet) -> None:
+    fleet.accepts_connections = False
+    freeze_relays(fleet)
+
+
+def freeze_some_relays(fleet: SimulatedFleet) -> None:
+    """Leave two relays of one data centre."""
+    relays = sorted(m.name for m in fleet.relays())
+    fleet.silent = set(relays[:-2])
+
+
+def do_nothing(fleet: SimulatedFleet) -> None:
+    pass
+
+
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_changes_are_in_force_in_time_while_all_instances_run(sizes: Sizes) -> None:
+    assert play_changes(sizes, do_nothing, before_s=0.5) == []
+
+
+# Guards against instances that go round silent relays and never ask the store: they
+# serve an old configuration and use a data centre that is being emptied.
+@pytest.mark.parametrize("before_s", SILENT_BEFORE_S)
+@pytest.mark.parametrize("silence", [freeze_relays, cut_off_relays, freeze_some_relays])
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_changes_are_in_force_in_time_behind_silent_relays(
+    sizes: Sizes, silence: Silence, before_s: float
+) -> None:
+    assert play_changes(sizes, silence, before_s=before_s) == []
