Ask the store when no relay has told of changes for 0.8 s

Callers saw routes of an old configuration, and requests reached upstreams of a data centre that was being emptied, for as long as several relays were silent at once (frozen, cut off or without power).

Cause: an instance asked its relays one after the other, 0.7 s each, and a relay that had failed was due again after 1.5 s. From three or four silent relays on, the first was due again before the last had been left: the instance went round them for ever. The store's turn came only once all relays were skipped at the same moment, and even then after a pause, in which the first relay became due again. As the list of instances comes the same way, it never heard either that these relays had lost their leases. The class of fault: time-outs one after the other, with no limit on their sum.

Change: SourceSelector, in the core, bounds the time for which an instance hears nothing. Once no source has answered for 0.8 s, it asks the store. A relay that didn't give the last answer has to answer at once (0.3 s instead of 0.7 s), and is skipped for longer each time it fails. A relay's failure no longer counts as an outage of the store, and an instance that the store turns away goes on with the relays instead of pausing for up to 4 s.

Why it works: the longest silence is one poll (0.7 s), one more relay (0.3 s) and a call of the store, whatever number of relays is silent.

--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -32,6 +32,12 @@
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.route_table import RouteTable, choose_service
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
+from borageramp_core._internal.routing.source_selector import (
+    Pause,
+    RelaySource,
+    SourceSelector,
+    StoreSource,
+)
 from borageramp_core._internal.routing.upstream_view import LoadSnapshot, UpstreamView
 from borageramp_core._internal.routing.work_estimate import WorkEstimate
 
@@ -49,11 +55,13 @@
     "Instance",
     "LoadSnapshot",
     "MalformedItem",
+    "Pause",
     "PlacementChoice",
     "PlacementRequirements",
     "RateLimitState",
     "Registration",
     "RelayPlan",
+    "RelaySource",
     "Route",
     "RouteTable",
     "RoutedService",
@@ -61,7 +69,9 @@
     "ServicePool",
     "ServiceShare",
     "SlowdownProfile",
+    "SourceSelector",
     "StateItem",
+    "StoreSource",
     "UpstreamView",
     "WaitPolicy",
     "WorkEstimate",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -102,6 +102,7 @@
             prefix=self._platform.watched_prefix,
             plan=self._relays,
             gather_s=settings.gather_s,
+            rng=self._rng,
             clock=self._clock,
             on_watch_started=lambda: self._listing.renew_now(),
         )
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncGenerator, Callable
 from typing import Protocol
 
-from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
-from borageramp_core.routing import Instance, RelayPlan
+from borageramp_core import HistoryLostError, StoreError
+from borageramp_core.routing import (
+    Instance,
+    Pause,
+    RelayPlan,
+    RelaySource,
+    SourceSelector,
+    StoreSource,
+)
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.change_log import (
@@ -34,8 +42,6 @@
 # A relay without a response from the store for this long may be partitioned from
 # it and stops serving changes.
 MAX_CONTACT_AGE_S = 0.9
-# Time for which a failed relay or store is skipped.
-FAILED_SOURCE_BACKOFF_S = 1.5
 # Concurrent long polls that a relay serves; further instances use the next relay
 # or the store.
 MAX_POLLING_INSTANCES = 48
@@ -90,6 +96,8 @@
         Relays to poll, in order of preference.
     gather_s : float
         Time in seconds to batch changes, so that one call fetches them all.
+    rng : random.Random
+        Random number generator for the retry jitter.
     clock : callable
         Returns the current time in seconds.
     on_watch_started : callable, optional
@@ -113,6 +121,7 @@
         prefix: str,
         plan: RelayPlan,
         gather_s: float,
+        rng: random.Random,
         clock: Callable[[], float],
         on_watch_started: Callable[[], None] = lambda: None,
         peers: PeerClient | None = None,
@@ -130,10 +139,8 @@
         self._last_contact_at_s = float("-inf")
         self.source_name = ""
         self.answer_gap_s = 0.0
-        self._confirmed_at_s = clock()
         self._watch_answered_at_s = clock()
-        self._store_backoff_until_s = float("-inf")
-        self._relay_backoff_until_s: dict[str, float] = {}
+        self._selector = SourceSelector(plan=plan, rng=rng, now_s=clock())
 
     @property
     def is_relay(self) -> bool:
@@ -145,7 +152,7 @@
 
         An answer that nothing has changed counts; a lease renewal doesn't.
         """
-        return self._clock() - self._confirmed_at_s
+        return self._selector.unconfirmed_s(now_s=self._clock())
 
     def watch_age_s(self) -> float:
         """Return the time in seconds since the watch of the store was answered.
@@ -162,52 +169,44 @@
     def _on_answer(self, source_name: str) -> None:
         self.source_name = source_name
         self.answer_gap_s = self.unconfirmed_s()
-        self._confirmed_at_s = self._clock()
 
     def on_contact(self) -> None:
         """Record a response from the store."""
         self._last_contact_at_s = self._clock()
 
+    def on_renewal(self, *, answered: bool) -> None:
+        """Record whether the store answered a lease renewal."""
+        self._selector.on_renewal(answered=answered, now_s=self._clock())
+
     async def watch(self, *, from_revision: int) -> AsyncGenerator[Change, None]:
         """Yield the changes from a revision on; empty ones if nothing changed.
 
         Raises
         ------
         StoreError
-            If neither the store nor a relay serves them.
+            If a call of the store failed. A further call of this method goes on
+            with the relays.
         """
         after = from_revision - 1
-        is_first_source = True
         while True:
-            relay = self._select_relay()
-            if relay is None and not is_first_source and not self._may_watch_store():
-                # The caller backs off, so that not all instances load the store
-                # at once.
-                raise StoreUnavailableError("no relay serves changes")
-            is_first_source = False
-            if relay is None:
-                changes = self._watch_store(after)
+            source = self._selector.select(now_s=self._clock())
+            if isinstance(source, Pause):
+                await asyncio.sleep(source.delay_s)
+                continue
+            if isinstance(source, RelaySource):
+                changes = self._poll_relay(source, after)
             else:
-                changes = self._poll_relay(relay, after)
+                changes = self._watch_store(after)
             async with contextlib.aclosing(changes):
                 async for change in changes:
                     after = max(after, change.revision)
                     yield change
 
-    def _may_watch_store(self) -> bool:
-        return self._plan.is_relay and self._clock() >= self._store_backoff_until_s
-
-    def _select_relay(self) -> Instance | None:
-        """Return the relay to poll, or ``None`` to watch the store."""
-        if self._may_watch_store():
-            return None
-        now_s = self._clock()
-        for relay in self._plan.other_relays:
-            if now_s >= self._relay_backoff_until_s.get(relay.name, now_s):
-                return relay
-        return None
-
     async def _watch_store(self, after: int) -> AsyncGenerator[Change, None]:
+        """Watch the store for as long as it is the source to ask."""
+        if not self._plan.is_relay:
+            unconfirmed_ms = round(self.unconfirmed_s() * 1000)
+            _log.info("store asked", unconfirmed_ms=unconfirmed_ms)
         self._change_log.reset(after)
         self._watching_store = True
         self._watch_answered_at_s = self._clock()
@@ -219,49 +218,56 @@
                 self.on_contact()
                 self._on_answer(STORE_NAME)
                 self._watch_answered_at_s = self._clock()
+                self._selector.on_store_answer(now_s=self._clock())
                 self._change_log.append(change)
                 yield change
+                if not self._is_store_selected():
+                    return
                 if change.written or change.deleted:
                     await asyncio.sleep(self._gather_s)
-                if self._select_relay() is not None:
-                    return
         except HistoryLostError:
             raise
         except StoreError as error:
-            self._store_backoff_until_s = self._clock() + FAILED_SOURCE_BACKOFF_S
-            if self._select_relay() is None:
-                raise
+            self._selector.on_store_failed(now_s=self._clock())
             _log.warning("store not followed", error=str(error))
+            raise
         finally:
             self._watching_store = False
             self._change_log.notify_waiters()
 
+    def _is_store_selected(self) -> bool:
+        source = self._selector.select(now_s=self._clock())
+        return isinstance(source, StoreSource)
+
     async def _poll_relay(
-        self, relay: Instance, after: int
+        self, source: RelaySource, after: int
     ) -> AsyncGenerator[Change, None]:
-        while self._select_relay() is relay:
-            try:
-                change = await self._fetch_changes(relay, after)
-            except RelayUnavailableError as error:
-                self._relay_backoff_until_s[relay.name] = (
-                    self._clock() + FAILED_SOURCE_BACKOFF_S
-                )
-                _log.info(
-                    "relay left",
-                    instance=relay.name,
-                    why=str(error),
-                    unconfirmed_ms=round(self.unconfirmed_s() * 1000),
-                )
-                return
-            self._on_answer(relay.name)
-            after = max(after, change.revision)
-            yield change
-
-    async def _fetch_changes(self, relay: Instance, after: int) -> Change:
+        """Poll a relay once."""
+        relay = source.instance
+        try:
+            change = await self._fetch_changes(
+                relay, after, wait_s=POLL_WAIT_S if source.settled else 0.0
+            )
+        except RelayUnavailableError as error:
+            self._selector.on_relay_failed(relay, now_s=self._clock())
+            _log.info(
+                "relay left",
+                instance=relay.name,
+                why=str(error),
+                unconfirmed_ms=round(self.unconfirmed_s() * 1000),
+            )
+            return
+        self._on_answer(relay.name)
+        self._selector.on_relay_answer(relay, now_s=self._clock())
+        yield change
+
+    async def _fetch_changes(
+        self, relay: Instance, after: int, *, wait_s: float
+    ) -> Change:
         assert relay.peer_address is not None
-        path = f"{CHANGES_PATH}?after={after}&wait_s={POLL_WAIT_S}"
+        path = f"{CHANGES_PATH}?after={after}&wait_s={wait_s}"
         try:
-            async with asyncio.timeout(POLL_WAIT_S + RESPONSE_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
                 response = await self._peers.request(
                     split_address(relay.peer_address),
                     "GET",
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -109,10 +109,14 @@
                 synced = False
             except StoreError as error:
                 self._on_failure(error)
-                await self._wait_before_retry()
+                if not synced:
+                    await self._wait_before_retry()
 
     async def _wait_before_retry(self) -> None:
-        """Wait for the retry delay or until a lease renewal succeeds."""
+        """Wait for the retry delay or until a lease renewal succeeds.
+
+        Only the store has all items; changes come from relays as well.
+        """
         self._store_recovered.clear()
         delay_s = self._retry_delay_s * (1.0 + self._rng.random())
         self._retry_delay_s = min(MAX_RETRY_DELAY_S, 2.0 * self._retry_delay_s)
@@ -128,6 +132,7 @@
         An idle watch can't distinguish a store without changes from an
         unresponsive one; lease renewals can.
         """
+        self._source.on_renewal(answered=answered)
         if answered:
             self._on_contact()
             if self._renewal_failing:
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from borageramp_core import HistoryLostError, OutcomeUnknownError, StoreUnavailableError
+from borageramp_core import HistoryLostError
 from borageramp_core.routing import Instance, RelayPlan, StateItem
 from borageramp_entry._internal.routed.change_source import (
     ChangeSource,
@@ -19,16 +19,15 @@
 )
 from borageramp_entry._internal.routed.records import decode_record
 from borageramp_entry._internal.serving.http_client import NotConnectedError
-from borageramp_entry._internal.store.base import Change, Commit, Item, Listing, Outcome
+from borageramp_entry._internal.store.base import Item
 from borageramp_platform.documents import read_item
 from tests.lib.routed import as_bytes, config_document, make_instance
+from tests.lib.simulated_store import SimulatedStore, SimulatedStoreClient
 
-__all__ = ["FleetMember", "SimulatedFleet", "SimulatedStore"]
+__all__ = ["FleetMember", "SimulatedFleet"]
 
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
-CALL_TIMEOUT_S = 1.5
-STORE_DELAY_S = 0.004
 LINK_DELAY_S = 0.001
 LARGE_CAPACITY = 2.0
 LARGE_PER_DATA_CENTRE = 2
@@ -37,151 +36,6 @@
 REJOIN_S = 2.0
 
 
-class SimulatedStore:
-    """Items with one revision counter, watches and leases.
-
-    Attributes
-    ----------
-    calls : int
-        Calls that count in full.
-    """
-
-    def __init__(self) -> None:
-        self.items: dict[str, Item] = {}
-        self.log: list[tuple[int, str, Item | None]] = []
-        self.revision = 1
-        self.calls = 0
-        self._pending_watches: set[int] = set()
-        self._unheard_watches: set[int] = set()
-        self._watch_count = 0
-        self._lease_count = 0
-        self._leases: dict[int, tuple[float, float, set[str]]] = {}
-        self._changed = asyncio.Event()
-
-    def put(self, key: str, value: bytes) -> None:
-        """Write an item."""
-        self.revision += 1
-        item = Item(key=key, value=value, revision=self.revision)
-        self.items[key] = item
-        self._append(key, item)
-
-    def remove(self, key: str) -> None:
-        """Delete an item."""
-        self.revision += 1
-        del self.items[key]
-        self._append(key, None)
-
-    def _append(self, key: str, item: Item | None) -> None:
-        self.log.append((self.revision, key, item))
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def lose_pending_watches(self) -> None:
-        """Answer no watch that waits now; later ones, and other calls, are answered."""
-        self._unheard_watches |= self._pending_watches
-
-    async def wait_for_changes(self, *, after: int, wait_s: float) -> None:
-        """Wait for a change after a revision, at most ``wait_s`` seconds."""
-        self._watch_count += 1
-        number = self._watch_count
-        self._pending_watches.add(number)
-        try:
-            async with asyncio.timeout(wait_s):
-                while self.revision <= after or number in self._unheard_watches:
-                    await self._changed.wait()
-        except TimeoutError:
-            pass
-        finally:
-            self._pending_watches.discard(number)
-        if number in self._unheard_watches:
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise StoreUnavailableError("no answer")
-
-    def grant(self, ttl_s: float) -> int:
-        """Create a lease."""
-        self._lease_count += 1
-        self._leases[self._lease_count] = (_now_s() + ttl_s, ttl_s, set())
-        return self._lease_count
-
-    def keep(self, lease_id: int) -> bool:
-        """Renew a lease; return whether it exists."""
-        if lease_id not in self._leases:
-            return False
-        _, ttl_s, keys = self._leases[lease_id]
-        self._leases[lease_id] = (_now_s() + ttl_s, ttl_s, keys)
-        return True
-
-    def attach(self, lease_id: int, key: str) -> None:
-        """Delete a key when a lease ends."""
-        self._leases[lease_id][2].add(key)
-
-    async def expire_leases(self) -> None:
-        """End leases that are not renewed, until cancelled."""
-        while True:
-            await asyncio.sleep(0.05)
-            for lease_id, (until_s, _, keys) in list(self._leases.items()):
-                if until_s <= _now_s():
-                    del self._leases[lease_id]
-                    for key in keys & set(self.items):
-                        self.remove(key)
-
-
-class _StoreClient:
-    """The store as one instance reaches it."""
-
-    def __init__(self, fleet: "SimulatedFleet", name: str) -> None:
-        self._fleet = fleet
-        self._store = fleet.store
-        self._name = name
-
-    async def _call(self) -> None:
-        self._store.calls += 1
-        if self._fleet.is_silent(self._name):
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise OutcomeUnknownError("no answer")
-        await asyncio.sleep(STORE_DELAY_S)
-
-    async def read(self, prefix: str) -> Listing:
-        await self._call()
-        items = tuple(i for k, i in self._store.items.items() if k.startswith(prefix))
-        return Listing(items=items, revision=self._store.revision)
-
-    async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[Change]:
-        after = from_revision - 1
-        wait_s = self._fleet.first_watch_wait_s
-        while True:
-            await self._call()
-            await self._store.wait_for_changes(after=after, wait_s=wait_s)
-            wait_s = self._fleet.watch_wait_s
-            if self._fleet.is_silent(self._name):
-                await asyncio.sleep(CALL_TIMEOUT_S)
-                raise StoreUnavailableError("no answer")
-            latest = {k: i for r, k, i in self._store.log if r > after}
-            after = self._store.revision
-            yield Change(
-                written=tuple(i for i in latest.values() if i is not None),
-                deleted=tuple(k for k, i in latest.items() if i is None),
-                revision=after,
-            )
-
-    async def commit(self, commits: list[Commit]) -> list[Outcome]:
-        await self._call()
-        for put in (p for c in commits for p in c.puts):
-            assert put.value is not None
-            self._store.put(put.key, put.value)
-            self._store.attach(put.lease_id, put.key)
-        return [Outcome(succeeded=True, revision=self._store.revision)]
-
-    async def grant_lease(self, ttl_s: float) -> int:
-        await self._call()
-        return self._store.grant(ttl_s)
-
-    async def keep_lease(self, lease_id: int) -> bool:
-        self._store.calls -= 1
-        await self._call()
-        return self._store.keep(lease_id)
-
-
 class _Response:
     def __init__(self, status: int, body: bytes) -> None:
         self.status = status
@@ -245,13 +99,16 @@
         self.in_force: dict[object, float] = {}
         self._plan = RelayPlan(own=instance)
         self._rng = random.Random(seed)
-        store: Any = _StoreClient(fleet, self.name)
+        store: Any = SimulatedStoreClient(
+            fleet.store, is_silent=lambda: fleet.is_silent(self.name)
+        )
         peers: Any = _PeerClient(fleet, self.name)
         self.source = ChangeSource(
             store=store,
             prefix="",
             plan=self._plan,
             gather_s=fleet.gather_s,
+            rng=self._rng,
             clock=_now_s,
             on_watch_started=lambda: self.registration.renew_now(),
             peers=peers,
@@ -307,8 +164,6 @@
         Instances by data centre.
     gather_s : float
         Time in seconds for which relays gather changes.
-    watch_wait_s, first_watch_wait_s : float
-        How long the store lets a watch wait, and the first one.
     seed : int
         Seed of all draws.
 
@@ -325,14 +180,10 @@
         *,
         sizes: dict[str, int],
         gather_s: float,
-        watch_wait_s: float = 30.0,
-        first_watch_wait_s: float = 0.5,
         seed: int = 1,
     ) -> None:
         self.store = SimulatedStore()
         self.gather_s = gather_s
-        self.watch_wait_s = watch_wait_s
-        self.first_watch_wait_s = first_watch_wait_s
         self.silent: set[str] = set()
         self.accepts_connections = True
         places = [(dc, i) for dc, size in sizes.items() for i in range(size)]
--- a/tests/routed/test_fleet_state_task.py
+++ b/tests/routed/test_fleet_state_task.py
@@ -34,6 +34,7 @@
                 prefix="",
                 plan=RelayPlan(own=make_instance()),
                 gather_s=0.01,
+                rng=random.Random(1),
                 clock=clock,
             )
             task = FleetStateTask(
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -36,6 +37,7 @@
             prefix="",
             plan=plan,
             gather_s=0.01,
+            rng=random.Random(1),
             clock=lambda: asyncio.get_running_loop().time() + self.clock_offset_s,
         )
         self.received_keys: list[str] = []
