Notice within 2.2 s that the watch of the store was not answered

Callers would see an old configuration for up to half a minute: every instance that asks the relay concerned, and the relay itself.

A relay is in contact while its lease renewals are answered; its watch is another call, which waited for 30 s and 1.5 s more when its answer was lost, or when it was begun in the moment in which the store drops its history. Only the first watch was short.

Change: watch_wait_s, half of the time after which an instance counts as out of contact (1.5 s with the platform's bounds), and 0.7 s for the answer.

Why it works: wait, answer and pause add up to less than contact_s (3 s), from which on a change has to be in force.

Two tests of the client against the stand-in of the store, which can leave watches unanswered now.

--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -76,6 +76,9 @@
     gather_s : float
         Time for which changes of the store are gathered; each fetch is a call
         that the store counts.
+    watch_wait_s : float
+        Longest time for which a watch of the store waits for changes: a watch whose
+        answer was lost is noticed only then.
     cores : float
         Processor cores for this process; more callers, and more work for other
         instances, go where there are more.
@@ -99,6 +102,7 @@
     absence_s: Positive = 6.0
     rejoin_s: Positive = 2.0
     gather_s: NotNegative = 0.5
+    watch_wait_s: Positive = 1.5
     cores: Positive = 1.0
     link_mbps: Positive = 1000.0
     bounds: FleetBounds = FleetBounds()
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -20,7 +20,8 @@
     ----------
     fault : str
         ``busy``, ``many``, ``silent``, ``reset``, ``lost`` (writes are done and
-        not answered), ``deaf`` (watches hear nothing while they wait) or empty.
+        not answered), ``deaf`` (watches hear nothing while they wait), ``unheard``
+        (watches are never answered) or empty.
     calls : list of str
         Method and path of each call.
     """
@@ -97,6 +98,8 @@
         if after < self.oldest:
             return 410, {}
         changed = self._changed
+        if self.fault == "unheard":
+            await asyncio.sleep(3600)
         if self.fault == "deaf":
             await asyncio.sleep(int(query["wait_ms"]) / 1000)
         elif not [e for e in self.events if e["revision"] > after]:
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -231,6 +231,25 @@
     }
 
 
+def boot_document(**fields: Any) -> dict[str, Any]:
+    """Return the settings file of the platform."""
+    return {
+        "node_name": "front-1",
+        "ip": "10.1.0.18",
+        "zone": "north",
+        "listen": {
+            "front": "10.1.0.18:8381",
+            "readiness": "10.1.0.18:8388",
+            "directory": "10.1.0.18:8383",
+        },
+        "internal_ports": [7200, 7215],
+        "bounds": {"grace_s": 6, "ttl_max_s": 1, "budget_slack": 58},
+        "platform": {"address": "10.200.1.7:8384"},
+        "novel": {"ignored": True},
+        **fields,
+    }
+
+
 def as_bytes(document: Any) -> bytes:
     """Return a document encoded as in the store."""
     return json.dumps(document).encode()
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 from collections.abc import AsyncIterator
 from typing import Any
@@ -20,8 +21,14 @@
 from borageramp_entry._internal.routed.records import decode_record
 from borageramp_entry._internal.serving.http_client import NotConnectedError
 from borageramp_entry._internal.store.base import Item
+from borageramp_platform.boot import settings_from
 from borageramp_platform.documents import read_item
-from tests.lib.routed import as_bytes, config_document, make_instance
+from tests.lib.routed import (
+    as_bytes,
+    boot_document,
+    config_document,
+    make_instance,
+)
 from tests.lib.simulated_store import SimulatedStore, SimulatedStoreClient
 
 __all__ = ["FleetMember", "SimulatedFleet"]
@@ -32,8 +39,6 @@
 LARGE_CAPACITY = 2.0
 LARGE_PER_DATA_CENTRE = 2
 RELAY_PORT = 7000
-ABSENCE_S = 6.0
-REJOIN_S = 2.0
 
 
 class _Response:
@@ -100,14 +105,16 @@
         self._plan = RelayPlan(own=instance)
         self._rng = random.Random(seed)
         store: Any = SimulatedStoreClient(
-            fleet.store, is_silent=lambda: fleet.is_silent(self.name)
+            fleet.store,
+            watch_wait_s=fleet.settings.watch_wait_s,
+            is_silent=lambda: fleet.is_silent(self.name),
         )
         peers: Any = _PeerClient(fleet, self.name)
         self.source = ChangeSource(
             store=store,
             prefix="",
             plan=self._plan,
-            gather_s=fleet.gather_s,
+            gather_s=fleet.settings.gather_s,
             rng=self._rng,
             clock=_now_s,
             on_watch_started=lambda: self.registration.renew_now(),
@@ -117,7 +124,7 @@
             store=store,
             prefix="",
             read_item=_read_item,
-            rejoin_s=REJOIN_S,
+            rejoin_s=fleet.settings.rejoin_s,
             source=self.source,
             on_change=self._on_change,
             rng=self._rng,
@@ -126,7 +133,9 @@
         self.registration = InstanceRegistrationTask(
             store=store,
             instance=instance,
-            lease_s=compute_lease_s(absence_s=ABSENCE_S, gather_s=fleet.gather_s),
+            lease_s=compute_lease_s(
+                absence_s=fleet.settings.absence_s, gather_s=fleet.settings.gather_s
+            ),
             ready=lambda: self.state_task.initial_sync_done,
             is_relay=lambda: self.source.is_relay,
             on_store_checked=lambda ok: self.state_task.on_store_checked(answered=ok),
@@ -162,8 +171,8 @@
     ----------
     sizes : dict of str to int
         Instances by data centre.
-    gather_s : float
-        Time in seconds for which relays gather changes.
+    bounds : dict of str to float
+        The platform's bounds, which the settings of all instances follow from.
     seed : int
         Seed of all draws.
 
@@ -179,11 +188,11 @@
         self,
         *,
         sizes: dict[str, int],
-        gather_s: float,
+        bounds: dict[str, float],
         seed: int = 1,
     ) -> None:
         self.store = SimulatedStore()
-        self.gather_s = gather_s
+        self.settings = settings_from(json.dumps(boot_document(bounds=bounds)))
         self.silent: set[str] = set()
         self.accepts_connections = True
         places = [(dc, i) for dc, size in sizes.items() for i in range(size)]
--- a/tests/lib/simulated_store.py
+++ b/tests/lib/simulated_store.py
@@ -10,9 +10,9 @@
 
 CALL_TIMEOUT_S = 1.5
 CALL_DELAY_S = 0.004
-# As the platform's adapter has the store wait for changes.
+# As in the platform's adapter.
 FIRST_WATCH_WAIT_S = 0.5
-WATCH_WAIT_S = 30.0
+WATCH_TIMEOUT_S = 0.7
 
 
 class SimulatedStore:
@@ -72,7 +72,7 @@
         finally:
             self._pending_watches.discard(number)
         if number in self._unheard_watches:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(WATCH_TIMEOUT_S)
             raise StoreUnavailableError("no answer")
 
     def grant(self, ttl_s: float) -> int:
@@ -111,12 +111,21 @@
     ----------
     store : SimulatedStore
         The store.
+    watch_wait_s : float
+        Longest time for which a watch waits for changes.
     is_silent : callable
         Returns whether calls get no answer at present.
     """
 
-    def __init__(self, store: SimulatedStore, *, is_silent: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        store: SimulatedStore,
+        *,
+        watch_wait_s: float,
+        is_silent: Callable[[], bool],
+    ) -> None:
         self._store = store
+        self._watch_wait_s = watch_wait_s
         self._is_silent = is_silent
 
     async def _call(self) -> None:
@@ -137,7 +146,7 @@
         while True:
             await self._call()
             await self._store.wait_for_changes(after=after, wait_s=wait_s)
-            wait_s = WATCH_WAIT_S
+            wait_s = self._watch_wait_s
             if self._is_silent():
                 await asyncio.sleep(CALL_TIMEOUT_S)
                 raise StoreUnavailableError("no answer")
--- a/tests/routed/test_documents.py
+++ b/tests/routed/test_documents.py
@@ -15,7 +15,12 @@
 from borageramp_entry.routed import Item
 from borageramp_platform.boot import settings_from
 from borageramp_platform.documents import read_item
-from tests.lib.routed import as_bytes, config_document, upstream_document
+from tests.lib.routed import (
+    as_bytes,
+    boot_document,
+    config_document,
+    upstream_document,
+)
 
 
 def read(key: str, document: Any) -> Any:
@@ -91,33 +96,18 @@
     assert read("status/x", {}) is None
 
 
-BOOT = {
-    "node_name": "front-1",
-    "ip": "10.1.0.18",
-    "zone": "north",
-    "listen": {
-        "front": "10.1.0.18:8381",
-        "readiness": "10.1.0.18:8388",
-        "directory": "10.1.0.18:8383",
-    },
-    "internal_ports": [7200, 7215],
-    "bounds": {"grace_s": 6, "ttl_max_s": 1, "budget_slack": 58},
-    "platform": {"address": "10.200.1.7:8384"},
-    "novel": {"ignored": True},
-}
-
-
 def test_the_settings_file() -> None:
-    settings = settings_from(yaml.safe_dump(BOOT))
+    settings = settings_from(yaml.safe_dump(boot_document()))
     assert settings.caller_address == "10.1.0.18:8381"
     assert settings.metrics_address == "10.1.0.18:7215"
     assert settings.directory_ttl_s == 1.0
     assert settings.leave_s < settings.drain_s < 6.0
     assert settings.bounds.retry_slack == 58
+    assert settings.watch_wait_s == 1.5
 
 
 def test_faults_of_the_settings_file_have_their_paths() -> None:
     with pytest.raises(SettingsError) as caught:
-        settings_from(yaml.safe_dump(BOOT | {"platform": {}, "zone": 5}))
+        settings_from(yaml.safe_dump(boot_document(platform={}, zone=5)))
     paths = {fault.path for fault in caught.value.faults}
     assert paths == {"platform.address", "zone"}
--- a/tests/routed/test_fleet_changes.py
+++ b/tests/routed/test_fleet_changes.py
@@ -12,8 +12,8 @@
 SMALL = ({"a": 5, "b": 5, "c": 4}, 2.0)
 GROWN = ({"a": 48, "b": 46, "c": 42}, 2.5)
 EVACUATION_LIMIT_S = 5.0
-# Share of the limit for which changes are gathered, as the platform's adapter sets it.
-GATHER_SHARE = 0.4
+# A fault that hides changes counts as over this long after it ended.
+CONTACT_S = 3.0
 # Longest time that most instances stay silent; longer than their leases.
 SILENCE_S = 12.0
 SILENT_BEFORE_S = (0.05, 1.0)
@@ -22,6 +22,13 @@
 Silence = Callable[[SimulatedFleet], None]
 
 
+def make_fleet(sizes: Sizes) -> SimulatedFleet:
+    """Return a fleet with the settings of a deployment of that size."""
+    instances, limit_s = sizes
+    bounds = {"config_apply_s": limit_s, "drain_s": limit_s, "contact_s": CONTACT_S}
+    return SimulatedFleet(sizes=instances, bounds=bounds)
+
+
 def play_changes(sizes: Sizes, silence: Silence, *, before_s: float) -> list[float]:
     """Return the delays of a configuration and an evacuation, over their limits.
 
@@ -34,10 +41,10 @@
     before_s : float
         Time from then to the changes.
     """
-    instances, limit_s = sizes
+    limit_s = sizes[1]
 
     async def run() -> list[float]:
-        fleet = SimulatedFleet(sizes=instances, gather_s=GATHER_SHARE * limit_s)
+        fleet = make_fleet(sizes)
         async with fleet.running():
             silence(fleet)
             await asyncio.sleep(before_s)
@@ -86,3 +93,22 @@
     sizes: Sizes, silence: Silence, before_s: float
 ) -> None:
     assert play_changes(sizes, silence, before_s=before_s) == []
+
+
+# Guards against relays that answer, renew their leases, and have missed changes for up
+# to half a minute, as the answer to their watch was lost.
+@pytest.mark.parametrize("before_s", SILENT_BEFORE_S)
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_changes_are_in_force_in_time_when_watches_are_not_answered(
+    sizes: Sizes, before_s: float
+) -> None:
+    async def run() -> float:
+        fleet = make_fleet(sizes)
+        async with fleet.running():
+            fleet.store.lose_pending_watches()
+            await asyncio.sleep(before_s)
+            changed_at_s = fleet.configure(5)
+            await asyncio.sleep(SILENCE_S)
+            return max(fleet.delays_s(5, since_s=changed_at_s).values())
+
+    assert run_simulated(run()) < max(sizes[1], CONTACT_S - before_s)
--- a/tests/routed/test_fleet_state_task.py
+++ b/tests/routed/test_fleet_state_task.py
@@ -27,7 +27,7 @@
         async with running_store() as fake:
             fake.put("op/config", as_bytes(config_document(1)))
             fake.put("servers/u1", as_bytes(upstream_document()))
-            client = KeyValueStore(address=fake.address)
+            client = KeyValueStore(address=fake.address, watch_wait_s=1.0)
             clock = asyncio.get_running_loop().time
             source = ChangeSource(
                 store=client,
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -31,7 +31,7 @@
             make_instance(f"relay-{i}", peer_address=address)
             for i, address in enumerate(relays)
         )
-        self.client = KeyValueStore(address=store.address)
+        self.client = KeyValueStore(address=store.address, watch_wait_s=1.0)
         self.source = ChangeSource(
             store=self.client,
             prefix="",
--- a/tests/routed/test_store_client.py
+++ b/tests/routed/test_store_client.py
@@ -11,16 +11,20 @@
     OutcomeUnknownError,
     StoreUnavailableError,
 )
-from borageramp_entry.routed import Commit, Condition, Put
+from borageramp_entry.routed import Change, Commit, Condition, Put
 from borageramp_platform import store as store_module
 from borageramp_platform.store import KeyValueStore
 from tests.lib.platform_store import FakeStore, running_store
 
+WATCH_WAIT_S = 1.0
+# Time after which an instance counts as out of contact, as the platform states it.
+CONTACT_S = 3.0
+
 
 def with_store(test: Callable[[FakeStore, KeyValueStore], Awaitable[None]]) -> None:
     async def run() -> None:
         async with running_store() as fake:
-            client = KeyValueStore(address=fake.address)
+            client = KeyValueStore(address=fake.address, watch_wait_s=WATCH_WAIT_S)
             try:
                 async with asyncio.timeout(20):
                     await test(fake, client)
@@ -30,6 +34,12 @@
     asyncio.run(run())
 
 
+async def next_change(client: KeyValueStore, fake: FakeStore) -> Change:
+    async for change in client.watch("", from_revision=fake.revision + 1):
+        return change
+    raise AssertionError("the watch ended")
+
+
 def put(key: str, value: bytes, *, lease: int = 0, at: int | None = None) -> Commit:
     conditions = () if at is None else (Condition(key=key, revision=at),)
     return Commit(
@@ -148,3 +158,23 @@
         assert (await client.read_key("a")).items[0].value == b""
 
     with_store(test)
+
+
+# Guards against changes that are missed for half a minute after a lost answer.
+def test_a_watch_without_an_answer_fails_soon_after_its_wait() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.fault = "unheard"
+        started_at_s = asyncio.get_running_loop().time()
+        with pytest.raises(StoreUnavailableError):
+            await next_change(client, fake)
+        waited_s = asyncio.get_running_loop().time() - started_at_s
+        assert waited_s < WATCH_WAIT_S + CONTACT_S / 2
+
+    with_store(test)
+
+
+def test_a_watch_without_changes_is_answered_within_its_wait() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        assert (await next_change(client, fake)).written == ()
+
+    with_store(test)
