Close the connections of stand-ins before the loop of their test

Cause: test_core_does_no_input_or_output[borageramp_core._internal.addresses] failed once of four runs with "SystemError: AST constructor recursion depth mismatch". The garbage collector ran within ast.parse and closed a StreamWriter that a stand-in had left open when the event loop of an earlier test ended. That raises "Event loop is closed", whose traceback pytest formats by parsing source: a parse within a parse, which Python 3.11 answers with this error. The log of the failing run has both warnings, one of them in this test.

Change: the stand-ins of the store and of relays run in a server of the test library that cancels what is still being served, and closes its connections, before the loop ends.

--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -7,6 +7,7 @@
 
 from borageramp_core import HistoryLostError
 from borageramp_entry._internal.routed.change_source import RelayUnavailableError
+from tests.lib.stream_server import running_server
 
 __all__ = ["Tell", "running_peer"]
 
@@ -36,11 +37,7 @@
                 length = f"Content-Length: {len(body)}\r\n\r\n".encode()
                 writer.write(f"HTTP/1.1 {status} X\r\n".encode() + length + body)
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+            return
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield f"{host}:{port}"
-    finally:
-        server.close()
+    async with running_server(serve) as address:
+        yield address
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -8,6 +8,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from tests.lib.stream_server import running_server
+
 __all__ = ["FakeStore", "running_store"]
 
 PAGE = 3
@@ -151,8 +153,6 @@
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
-        finally:
-            writer.close()
 
     async def _exchange(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -193,10 +193,6 @@
 async def running_store() -> AsyncIterator[FakeStore]:
     """Run a store on a free port."""
     store = FakeStore()
-    server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()[:2]
-    store.address = f"{host}:{port}"
-    try:
+    async with running_server(store.serve) as address:
+        store.address = address
         yield store
-    finally:
-        server.close()
