--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -39,5 +39,5 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return
 
-    async with running_server(serve) as address:
-        yield address
+    async with running_server(serve) as port:
+        yield f"127.0.0.1:{port}"
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -193,6 +193,6 @@
 async def running_store() -> AsyncIterator[FakeStore]:
     """Run a store on a free port."""
     store = FakeStore()
-    async with running_server(store.serve) as address:
-        store.address = address
+    async with running_server(store.serve) as port:
+        store.address = f"127.0.0.1:{port}"
         yield store
--- a/tests/lib/stream_server.py
+++ b/tests/lib/stream_server.py
@@ -10,8 +10,8 @@
 
 
 @asynccontextmanager
-async def running_server(serve: Serve) -> AsyncIterator[str]:
-    """Serve connections on a free port; yield the address.
+async def running_server(serve: Serve) -> AsyncIterator[int]:
+    """Serve connections on a free port of the loopback address; yield the port.
 
     Connections that are still served at the end are cut. A writer left open is closed
     by the garbage collector, after its loop, in the middle of another test.
@@ -34,9 +34,8 @@
             serving.discard(task)
 
     server = await asyncio.start_server(serve_one, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()[:2]
     try:
-        yield f"{host}:{port}"
+        yield int(server.sockets[0].getsockname()[1])
     finally:
         server.close()
         for task in serving:
--- a/tests/routed/test_http_client.py
+++ b/tests/routed/test_http_client.py
@@ -12,6 +12,7 @@
     HttpClient,
     NotConnectedError,
 )
+from tests.lib.stream_server import running_server
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 EMPTY = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -54,14 +55,12 @@
 
 def with_server(server: Server, test: Test) -> None:
     async def run() -> None:
-        listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
         client = HttpClient(idle_s=5.0, max_idle=4)
-        try:
-            async with asyncio.timeout(10):
-                await test(client, listening.sockets[0].getsockname()[1])
-        finally:
-            client.close()
-            listening.close()
+        async with running_server(server.serve) as port, asyncio.timeout(10):
+            try:
+                await test(client, port)
+            finally:
+                client.close()
 
     asyncio.run(run())
 
@@ -157,15 +156,12 @@
         writer.close()
 
     async def run() -> None:
-        listening = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = listening.sockets[0].getsockname()[1]
         client = HttpClient(idle_s=5.0, max_idle=4)
-        asked = asyncio.ensure_future(fetch(client, port))
-        await asyncio.sleep(0.1)
-        asked.cancel()
-        async with asyncio.timeout(5):
+        async with running_server(serve) as port, asyncio.timeout(5):
+            asked = asyncio.ensure_future(fetch(client, port))
+            await asyncio.sleep(0.1)
+            asked.cancel()
             await closed.wait()
-        listening.close()
 
     asyncio.run(run())
 
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -14,6 +14,7 @@
 from borageramp_entry._internal.serving.requests import BodyCutError
 from borageramp_entry.routed import BrokenExchangeError, HttpClient
 from tests.lib.connections import CallerConnection, run_connection
+from tests.lib.stream_server import running_server
 
 PART = b"x" * 16_384
 SMALL_BODY = b"y" * 1000
@@ -242,11 +243,10 @@
 
 def run_with_server(server: UploadServer, test: Any) -> None:
     async def serve() -> None:
-        listening = await asyncio.start_server(server.serve, "127.0.0.1", 0)
         client = HttpClient(idle_s=5.0, max_idle=4)
-        await test(client, listening.sockets[0].getsockname()[1])
-        client.close()
-        listening.close()
+        async with running_server(server.serve) as port:
+            await test(client, port)
+            client.close()
 
     run_with_timeout(serve)
 
