--- a/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
@@ -162,6 +162,14 @@
         self._discarding = loop.call_later(DISCARD_TIMEOUT_S, self.abort)
         self._connection.resume()
 
+    def close_connection(self) -> None:
+        """Close the connection, even if the answer has ended.
+
+        Only for use right after :meth:`head`: later, the connection may carry
+        another exchange.
+        """
+        self._connection.abort()
+
     def abort(self) -> None:
         """Drop the rest of the answer and its connection."""
         if not self._ended:
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -224,7 +224,7 @@
         )
         if read.foreign:
             # An answer to an earlier request; ours may still come, or not.
-            response.abort()
+            response.close_connection()
             raise TryFailedError(AttemptResult.DIED)
         return read
 
