Refuse requests that may not end before a planned stop does

New connections are taken until callers have fresh addresses (2.5 s with the platform's bounds), and all that was in flight when drain_s was over (5 s) ended with its connection. A request that came at 2.4 s, with a route's timeout of 5 s, could be at work then. Later ones hardly come: each answer during a stop closes its connection, and idle ones are closed.

Change: during a stop, a request whose deadline lies after the end is refused at once ("not run", Retry-After 0, connection closed) unless 8 times the mean work of its route fits into what is left; upstreams slow down up to 7 times at any moment. One that is accepted gets the end of the stop as its deadline, less 0.1 s for the answer, which the upstream is told as well: it is answered, not cut.

--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -75,7 +75,7 @@
         self._settings = platform.load_settings()
         self._clock = asyncio.get_running_loop().time
         self._rng = random.Random()
-        self._stopping = False
+        self._stops_at_s = float("inf")
         self._config_received = asyncio.Event()
         self._background_tasks: list[asyncio.Task[Any]] = []
         self._internal_servers: list[asyncio.Server] = []
@@ -183,7 +183,7 @@
             fleet_state=self._fleet_state_task.fleet_state,
             dispatcher=dispatcher,
             dialect=self._platform.callers,
-            is_stopping=lambda: self._stopping,
+            stops_at_s=lambda: self._stops_at_s,
             rng=self._rng,
             clock=self._clock,
         )
@@ -223,6 +223,10 @@
         service_config = config.services.get(service) if config is not None else None
         return service_config.health_path if service_config is not None else None
 
+    @property
+    def _stopping(self) -> bool:
+        return self._stops_at_s < float("inf")
+
     def _is_ready(self) -> bool:
         return (
             not self._stopping and self._fleet_state_task.fleet_state.config is not None
@@ -358,7 +362,7 @@
 
     async def _stop(self, caller_server: asyncio.Server) -> None:
         started_at_s = self._clock()
-        self._stopping = True
+        self._stops_at_s = started_at_s + self._settings.drain_s
         _log.info("stopping", in_flight=self._handler.in_flight)
         self._listing_task.cancel()
         withdraw_task = asyncio.ensure_future(self._listing.unregister())
@@ -366,8 +370,7 @@
         # until those addresses expire.
         await asyncio.sleep(self._settings.leave_s)
         caller_server.close()
-        drain_deadline_s = started_at_s + self._settings.drain_s
-        while self._server.close_idle() and self._clock() < drain_deadline_s:
+        while self._server.close_idle() and self._clock() < self._stops_at_s:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         for task in (*self._background_tasks, withdraw_task):
             task.cancel()
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -26,6 +26,11 @@
 # A starting instance receives its configuration within about this time.
 NO_CONFIG_RETRY_AFTER_S = 0.3
 DEFAULT_DEADLINE_S = 10.0
+# A request that arrives during a shutdown is accepted if this multiple of its mean work
+# fits into the time left; upstreams slow down several times at any moment.
+STOP_WORK_RATIO = 8.0
+# Time before the end of a shutdown at which the last requests are answered.
+STOP_ANSWER_TIME_S = 0.1
 
 
 class CallerRequestHandler:
@@ -39,8 +44,9 @@
         Sends requests to upstreams and returns the responses.
     dialect : CallerDialect
         Reads and writes the headers of callers.
-    is_stopping : callable
-        Returns whether this instance is shutting down.
+    stops_at_s : callable
+        Returns the time at which this instance ends all requests to shut down;
+        infinity while it isn't shutting down.
     rng : random.Random
         Random number generator.
     clock : callable
@@ -58,7 +64,7 @@
         fleet_state: FleetState,
         dispatcher: RoutedDispatcher,
         dialect: CallerDialect,
-        is_stopping: Callable[[], bool],
+        stops_at_s: Callable[[], float],
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
@@ -66,11 +72,16 @@
         self.dispatcher = dispatcher
         self.dialect = dialect
         self.metrics: Metrics | None = None
-        self.is_stopping = is_stopping
+        self._stops_at_s = stops_at_s
         self._rng = rng
         self.clock = clock
         self.in_flight = 0
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this instance is shutting down."""
+        return self._stops_at_s() < float("inf")
+
     async def serve(self, request: HttpRequest) -> None:
         """Handle a request and send its response."""
         self.in_flight += 1
@@ -105,11 +116,12 @@
         remaining_s = (
             DEFAULT_DEADLINE_S if metadata.deadline_s is None else metadata.deadline_s
         )
+        deadline_s = arrived_at_s + min(remaining_s, route.timeout_s)
         caller = CallerRequest(
             request_id=metadata.request_id,
             service=choose_service(route, rng=self._rng),
             class_name=route.name,
-            deadline_s=arrived_at_s + min(remaining_s, route.timeout_s),
+            deadline_s=self._limit_deadline(route, deadline_s),
             method=request.method,
             path=request.target,
             headers=self.dialect.forwarded_headers(request.headers),
@@ -123,6 +135,27 @@
             caller_timeout_s=metadata.deadline_s,
         )
 
+    def _limit_deadline(self, route: Route, deadline_s: float) -> float:
+        """Return a deadline that leaves time for an answer before a shutdown.
+
+        Raises
+        ------
+        RefusedError
+            If a request of the route may well not end in what is left.
+        """
+        latest_s = self._stops_at_s() - STOP_ANSWER_TIME_S
+        if deadline_s <= latest_s:
+            return deadline_s
+        work_s = self.dispatcher.pools.work_estimate(route).mean_s
+        if latest_s - self.clock() < STOP_WORK_RATIO * work_s:
+            raise RefusedError(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.LEAVING,
+                detail="this instance is shutting down",
+                retry_after_s=0.0,
+            )
+        return latest_s
+
     def _check_body(self, request: HttpRequest) -> None:
         if request.body_too_large:
             raise _refused_error(Reason.BODY_TOO_LARGE, "the body is over its limit")
@@ -218,7 +251,7 @@
 
     async def _deliver(self, answer: RoutedAnswer) -> str:
         head = answer.upstream_answer.head
-        close_connection = self._handler.is_stopping()
+        close_connection = self._handler.is_stopping
         if answer.complete:
             self._request.answer(
                 head.status, head.headers, answer.body, last=close_connection
@@ -278,7 +311,7 @@
             response.status,
             response.headers,
             response.body,
-            last=self._handler.is_stopping(),
+            last=self._handler.is_stopping,
         )
 
     def _end_failed_request(self) -> None:
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -43,6 +43,8 @@
         Whether the bodies of its answers never end.
     reads : bool
         Whether it reads the bodies of requests.
+    work_s : float
+        Time until it answers a request.
     """
 
     def __init__(self) -> None:
@@ -50,6 +52,7 @@
         self.address = ""
         self.endless = False
         self.reads = True
+        self.work_s = WORK_S
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -64,7 +67,7 @@
                 if "/healthz" not in head and self.endless:
                     await send_endless_answer(writer, echo)
                 if "/healthz" not in head:
-                    await asyncio.sleep(WORK_S)
+                    await asyncio.sleep(self.work_s)
                     self.served += 1
                     body = b"done"
                 writer.write(
@@ -225,6 +228,19 @@
     run_with_instance(tmp_path, test)
 
 
+# Guards against requests that are cut without an answer at the end of a planned stop.
+def test_a_request_that_outlasts_a_planned_stop_is_answered(tmp_path: Path) -> None:
+    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+        upstream.work_s = 30.0
+        instance.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        status, _ = await instance.get(instance.front, "/r/x")
+        assert status == 504
+
+    events = run_with_instance(tmp_path, test)
+    assert "stopped" in events
+
+
 def test_settings_are_reloaded_and_invalid_ones_rejected(tmp_path: Path) -> None:
     async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
         instance.write_boot(probes_per_s=10)
--- a/tests/routed/test_terms.py
+++ b/tests/routed/test_terms.py
@@ -1,29 +1,30 @@
 """Deadlines and bodies of caller requests, and refusals of invalid ones."""
 
 import random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from borageramp_core import Reason, RefusedError
+from borageramp_core import Reason, RefusedError, Verdict
 from borageramp_core.routing import FleetState
 from borageramp_entry._internal.border.http_request import HttpRequest
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
 from borageramp_platform.messages import DEADLINE, REQUEST_ID, Callers
-from tests.lib.routed import make_config
+from tests.lib.routed import make_config, make_pools
 
 NOW_S = 100.0
 
 
-def make_handler() -> CallerRequestHandler:
+def make_handler(*, stops_at_s: float = float("inf")) -> CallerRequestHandler:
     fleet_state = FleetState()
     fleet_state.put("op/config", make_config())
-    dispatcher: Any = None
+    dispatcher: Any = SimpleNamespace(pools=make_pools())
     return CallerRequestHandler(
         fleet_state=fleet_state,
         dispatcher=dispatcher,
         dialect=Callers(),
-        is_stopping=lambda: False,
+        stops_at_s=lambda: stops_at_s,
         rng=random.Random(1),
         clock=lambda: NOW_S,
     )
@@ -84,3 +85,28 @@
     assert (
         Callers().refusal_response(build_refusal(request), request_id="1").status == 413
     )
+
+
+# Guards against requests that are accepted late in a planned stop and cut at its end
+# without an answer. The route's timeout is 1 s, its mean work 0.1 s.
+def test_a_request_that_may_not_end_before_a_shutdown_is_refused() -> None:
+    handler = make_handler(stops_at_s=NOW_S + 0.8)
+    with pytest.raises(RefusedError) as caught:
+        handler.build_routed_request(make_request(), arrived_at_s=NOW_S)
+    assert caught.value.reason is Reason.LEAVING
+    assert caught.value.verdict is Verdict.NOT_RUN
+    response = Callers().refusal_response(caught.value, request_id="1")
+    assert response.status == 503 and ("retry-after", b"0.000") in response.headers
+
+
+def test_the_deadline_of_a_request_leaves_time_to_answer_before_a_shutdown() -> None:
+    handler = make_handler(stops_at_s=NOW_S + 0.95)
+    routed = handler.build_routed_request(make_request(), arrived_at_s=NOW_S)
+    assert NOW_S + 0.8 < routed.caller.deadline_s < NOW_S + 0.95
+
+
+def test_a_request_whose_deadline_is_before_the_shutdown_is_accepted() -> None:
+    handler = make_handler(stops_at_s=NOW_S + 0.4)
+    request = make_request(**{DEADLINE: b"200"})
+    routed = handler.build_routed_request(request, arrived_at_s=NOW_S)
+    assert routed.caller.deadline_s == pytest.approx(NOW_S + 0.2)
