Test changes with drawn delays, removed upstreams and outages

Cause: the tests of the incident silence relays in a few fixed ways, and look at configurations and evacuations only. The list of upstreams comes the same way, and the retries that now go to the store must not add up in an outage.

Change: tests only. Twelve draws of delays up to their limits, of silent shares and of the time between; an upstream that is removed behind silent relays; the calls of 136 instances in an outage of 8 s.

--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -28,6 +28,7 @@
     boot_document,
     config_document,
     make_instance,
+    upstream_document,
 )
 from tests.lib.simulated_store import SimulatedStore, SimulatedStoreClient
 
@@ -35,6 +36,7 @@
 
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
+UPSTREAMS_PREFIX = "servers/"
 LINK_DELAY_S = 0.001
 LARGE_CAPACITY = 2.0
 LARGE_PER_DATA_CENTRE = 2
@@ -76,7 +78,7 @@
                 raise NotConnectedError("no answer")
             await asyncio.sleep(3600.0)
         self._connected.add(place[1])
-        await asyncio.sleep(LINK_DELAY_S)
+        await asyncio.sleep(self._fleet.link_delay_s)
         query = dict(p.split("=") for p in path.partition("?")[2].split("&"))
         try:
             body = await peer.source.wait_for_changes(
@@ -86,7 +88,7 @@
             return _Response(503, b"")
         except HistoryLostError:
             return _Response(410, b"")
-        await asyncio.sleep(LINK_DELAY_S)
+        await asyncio.sleep(self._fleet.link_delay_s)
         if self._fleet.is_silent(peer.name):
             await asyncio.sleep(3600.0)
         return _Response(200, body)
@@ -102,6 +104,7 @@
         self.name = instance.name
         self.data_centre = instance.data_centre
         self.in_force: dict[object, float] = {}
+        self.without_upstreams_at_s = float("inf")
         self._plan = RelayPlan(own=instance)
         self._rng = random.Random(seed)
         store: Any = SimulatedStoreClient(
@@ -153,6 +156,11 @@
         self.registration.on_instances_changed({i.name for i in state.instances()})
         version = state.config.version if state.config is not None else 0
         self.in_force.setdefault(version, _now_s())
+        known = any(True for _ in state.registrations())
+        if known:
+            self.without_upstreams_at_s = float("inf")
+        elif self.without_upstreams_at_s == float("inf"):
+            self.without_upstreams_at_s = _now_s()
         for data_centre in state.evacuated_data_centres():
             self.in_force.setdefault(data_centre, _now_s())
 
@@ -180,6 +188,8 @@
     ----------
     silent : set of str
         Instances that neither answer nor get answers.
+    link_delay_s : float
+        Time that a request to another instance takes, and its answer.
     accepts_connections : bool
         Whether silent instances accept connections, like one that stands still.
     """
@@ -194,6 +204,7 @@
         self.store = SimulatedStore()
         self.settings = settings_from(json.dumps(boot_document(bounds=bounds)))
         self.silent: set[str] = set()
+        self.link_delay_s = LINK_DELAY_S
         self.accepts_connections = True
         places = [(dc, i) for dc, size in sizes.items() for i in range(size)]
         self.members = [
@@ -229,6 +240,23 @@
         self.store.put(EVACUATION_PREFIX + data_centre, b"{}")
         return _now_s()
 
+    def register_upstream(self, name: str) -> None:
+        """Write the registration of an upstream."""
+        self.store.put(UPSTREAMS_PREFIX + name, as_bytes(upstream_document()))
+
+    def remove_upstream(self, name: str) -> float:
+        """Remove a registration; return the time of the acknowledgement."""
+        self.store.remove(UPSTREAMS_PREFIX + name)
+        return _now_s()
+
+    def removal_delays_s(self, *, since_s: float) -> dict[str, float]:
+        """Return how long it took until an instance knew no upstream any more."""
+        return {
+            m.name: m.without_upstreams_at_s - since_s
+            for m in self.members
+            if m.name not in self.silent
+        }
+
     def delays_s(self, what: object, *, since_s: float) -> dict[str, float]:
         """Return how long a version or evacuation took, for all but silent ones."""
         return {
--- a/tests/lib/simulated_store.py
+++ b/tests/lib/simulated_store.py
@@ -20,6 +20,10 @@
 
     Attributes
     ----------
+    call_delay_s : float
+        Time that each call takes.
+    down : bool
+        Whether all calls fail.
     calls : int
         Calls that count in full.
     """
@@ -29,6 +33,8 @@
         self.log: list[tuple[int, str, Item | None]] = []
         self.revision = 1
         self.calls = 0
+        self.call_delay_s = CALL_DELAY_S
+        self.down = False
         self._pending_watches: set[int] = set()
         self._unheard_watches: set[int] = set()
         self._watch_count = 0
@@ -133,7 +139,9 @@
         if self._is_silent():
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise OutcomeUnknownError("no answer")
-        await asyncio.sleep(CALL_DELAY_S)
+        await asyncio.sleep(self._store.call_delay_s)
+        if self._store.down:
+            raise StoreUnavailableError("down")
 
     async def read(self, prefix: str) -> Listing:
         await self._call()
--- a/tests/routed/test_fleet_changes.py
+++ b/tests/routed/test_fleet_changes.py
@@ -1,6 +1,7 @@
 """Time in which a simulated fleet puts changes of the store in force."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import pytest
@@ -112,3 +113,56 @@
             return max(fleet.delays_s(5, since_s=changed_at_s).values())
 
     assert run_simulated(run()) < max(sizes[1], CONTACT_S - before_s)
+
+
+# Guards against relays that fail being taken for an outage of the store, in which an
+# upstream that is gone is kept for a while.
+@pytest.mark.parametrize("before_s", SILENT_BEFORE_S)
+@pytest.mark.parametrize("silence", [freeze_relays, cut_off_relays])
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_an_upstream_that_is_gone_is_dropped_in_time_behind_silent_relays(
+    sizes: Sizes, silence: Silence, before_s: float
+) -> None:
+    async def run() -> float:
+        fleet = make_fleet(sizes)
+        fleet.register_upstream("u1")
+        async with fleet.running():
+            silence(fleet)
+            await asyncio.sleep(before_s)
+            removed_at_s = fleet.remove_upstream("u1")
+            await asyncio.sleep(SILENCE_S)
+            return max(fleet.removal_delays_s(since_s=removed_at_s).values())
+
+    assert run_simulated(run()) < sizes[1]
+
+
+# Each step of a change takes up to its limit, and any part of the fleet is silent.
+@pytest.mark.parametrize("seed", range(12))
+def test_changes_are_in_force_in_time_whatever_each_step_takes(seed: int) -> None:
+    rng = random.Random(seed)
+    sizes = GROWN if seed % 4 == 0 else SMALL
+
+    def silence(fleet: SimulatedFleet) -> None:
+        fleet.link_delay_s = rng.choice((0.001, 0.1, 0.29)) / 2
+        fleet.store.call_delay_s = rng.choice((0.004, 0.05))
+        fleet.accepts_connections = rng.random() < 0.5
+        share = rng.choice((0.5, 0.8, 0.95))
+        fleet.silent = {m.name for m in fleet.members if rng.random() < share}
+        # Relays gather this change when the next ones come.
+        fleet.configure(4)
+
+    before_s = rng.uniform(0.0, 2.0)
+    assert play_changes(sizes, silence, before_s=before_s) == []
+
+
+def test_an_outage_of_the_store_does_not_multiply_calls() -> None:
+    async def run() -> int:
+        fleet = make_fleet(GROWN)
+        async with fleet.running():
+            fleet.store.down = True
+            before = fleet.store.calls
+            await asyncio.sleep(8.0)
+            return fleet.store.calls - before
+
+    # Beside renewals, each instance asks the store twice, and relays a few times more.
+    assert run_simulated(run()) < 3 * sum(GROWN[0].values())
