Log and count when an instance reaches no upstream of a service

Change: ServiceReachability keeps, for each service, which upstreams failed in a row and when one last answered, from attempts and probes. It decides nothing yet. Its changes are logged (`service unreachable`, `service reachable`), `try ended` says how old the last answer of the service is, and there are metrics for unreachable services, failed probes, and idle connections closed after them.

ServicePool.on_report, which only tests called, is gone: they call the view.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Collection, Iterable
 
-from borageramp_core._internal.messages import AttemptResult, LoadReport, Notice
+from borageramp_core._internal.messages import AttemptResult, Notice
 from borageramp_core._internal.outliers import Outliers
 from borageramp_core._internal.routing.kept_notices import KeptNotices
 from borageramp_core._internal.routing.model import Registration, RoutedService
@@ -16,6 +16,7 @@
     PlacementRequirements,
 )
 from borageramp_core._internal.routing.rate_allowance import RateAllowance
+from borageramp_core._internal.routing.reachability import ServiceReachability
 from borageramp_core._internal.routing.response_time import response_time_estimator
 from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
@@ -82,6 +83,7 @@
         self.views: dict[str, UpstreamView] = {}
         self.shortlist = Shortlist(member=member, data_centre=data_centre)
         self.slowdown = SlowdownProfile()
+        self.reachability = ServiceReachability()
         self.outliers = Outliers(max_ejected_share=MAX_EJECTED_SHARE)
         self._data_centre = data_centre
         self._eligibility = UpstreamEligibility(cold=cold, limited=limited)
@@ -384,12 +386,6 @@
             )
         work.on_answer(latency_s, pace=pace * slowdown)
 
-    def on_report(
-        self, view: UpstreamView, report: LoadReport, *, now_s: float
-    ) -> None:
-        """Update an upstream from its load report."""
-        view.on_report(report, now_s=now_s)
-
     def on_notice(self, view: UpstreamView, notice: Notice, *, now_s: float) -> bool:
         """Apply a notice of an upstream; return whether it changed anything."""
         previous = (view.leaving, view.is_paused(now_s=now_s))
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -28,6 +28,7 @@
     AnswerKind,
     RateLimitState,
 )
+from borageramp_core._internal.routing.reachability import ServiceReachability
 from borageramp_core._internal.routing.relay_plan import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.route_table import RouteTable, choose_service
@@ -67,6 +68,7 @@
     "RoutedService",
     "RoutingConfig",
     "ServicePool",
+    "ServiceReachability",
     "ServiceShare",
     "SlowdownProfile",
     "SourceSelector",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -164,6 +164,7 @@
             cold=cold,
             on_removed=self._on_upstream_removed,
             rng=self._rng,
+            clock=self._clock,
         )
         self._prober = Prober(
             client=self._client,
--- a/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
@@ -96,7 +96,7 @@
         try:
             return await self._run(request)
         except TryFailedError as error:
-            self._record_report(error.report, error.notice)
+            self._record_failure(error)
             self.finish(error.result)
             raise
         except asyncio.CancelledError:
@@ -112,6 +112,7 @@
             deadline_ms=int(remaining_s * 1000),
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, remaining_s)),
         )
+        self._pools.on_reached(self.view)
         self._record_report(answer.report, answer.notice)
         try:
             routed_answer = await self._buffer_body(answer, request)
@@ -121,6 +122,13 @@
         self._record_answer(routed_answer)
         return routed_answer
 
+    def _record_failure(self, error: TryFailedError) -> None:
+        if error.result is AttemptResult.UNREACHABLE:
+            self._pools.on_unreached(self.view, error.result)
+        elif error.result is AttemptResult.SHED:
+            self._pools.on_reached(self.view)
+        self._record_report(error.report, error.notice)
+
     def _record_report(self, report: LoadReport | None, notice: Notice) -> None:
         """Record the upstream's load report and notice as soon as they arrive."""
         now_s = self._clock()
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -251,8 +251,13 @@
             upstream=attempt.view.registration.id,
             result=result.value,
             took_ms=round(attempt.elapsed_s * 1000, 1),
+            service_answer_age_ms=_age_ms(self._answer_age_s()),
         )
 
+    def _answer_age_s(self) -> float:
+        now_s = self._dispatcher.clock()
+        return self._pool.reachability.answer_age_s(now_s=now_s)
+
     async def _start_next_attempt(self) -> bool:
         """Start another attempt if it is allowed and can still be useful."""
         if self._verdict is not Verdict.NOT_RUN and not self._route.idempotent:
--- a/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -40,6 +40,17 @@
         source.watch_age_s,
     )
     gauge("borageramp_probes_sent", "Probes sent.", lambda: prober.sent)
+    gauge("borageramp_probes_failed", "Probes not answered.", lambda: prober.failed)
+    gauge(
+        "borageramp_closed_connections",
+        "Idle connections closed after a failed probe.",
+        lambda: prober.closed_connections,
+    )
+    gauge(
+        "borageramp_unreachable_services",
+        "Services none of whose upstreams seems to be reachable.",
+        lambda: pools.unreachable_service_count,
+    )
     gauge(
         "borageramp_upstream_connections",
         "Connections opened to upstreams.",
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from borageramp_core import Notice, RatioBudget
+from borageramp_core import AttemptResult, Notice, RatioBudget
 from borageramp_core.routing import (
     RATE_LIMIT_BOUNDS,
     AnswerKind,
@@ -47,6 +47,8 @@
         Called with each upstream that was removed or restarted.
     rng : random.Random
         Source of randomness.
+    clock : callable
+        Returns the current time in seconds.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         cold: RateAllowance,
         on_removed: Callable[[UpstreamView], None],
         rng: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         self.bounds = bounds
         self.cold = cold
@@ -66,6 +69,7 @@
         self._data_centre = data_centre
         self._on_removed = on_removed
         self._rng = rng
+        self._clock = clock
         self._entry_count = 1
         self.limited_attempts = 0
         self._pools: dict[str, ServicePool] = {}
@@ -144,6 +148,52 @@
         views = (v for p in self._pools.values() for v in p.views.values())
         return sum(v.rate_limit.in_force for v in views)
 
+    @property
+    def unreachable_service_count(self) -> int:
+        """Number of services none of whose upstreams seems to be reachable."""
+        now_s = self._clock()
+        pools = self._pools.values()
+        return sum(p.reachability.is_unreachable(now_s=now_s) for p in pools)
+
+    def on_reached(self, view: UpstreamView) -> None:
+        """Record that an upstream answered, whatever it answered."""
+        now_s = self._clock()
+        service = view.registration.service
+        reachability = self.pool(service).reachability
+        unreachable_s = reachability.unreachable_s(now_s=now_s)
+        if reachability.on_answer(now_s=now_s):
+            _log.warning(
+                "service reachable",
+                service=service,
+                upstream=view.registration.id,
+                unreachable_ms=round(unreachable_s * 1000),
+            )
+
+    def on_unreached(self, view: UpstreamView, result: AttemptResult) -> None:
+        """Record that an upstream could not be reached.
+
+        Parameters
+        ----------
+        view : UpstreamView
+            The upstream.
+        result : AttemptResult
+            How the last attempt or probe ended.
+        """
+        now_s = self._clock()
+        service = view.registration.service
+        pool = self.pool(service)
+        age_s = pool.reachability.answer_age_s(now_s=now_s)
+        if pool.reachability.on_failure(
+            view.registration.id, upstream_count=len(pool.views), now_s=now_s
+        ):
+            _log.warning(
+                "service unreachable",
+                service=service,
+                upstreams=len(pool.views),
+                result=result.value,
+                answer_age_ms=None if age_s == float("inf") else round(age_s * 1000),
+            )
+
     def on_attempt(self, view: UpstreamView) -> None:
         """Count an attempt if its upstream has a rate limit."""
         self.limited_attempts += view.rate_limit.in_force
--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -35,6 +35,13 @@
         Returns the path of a service's health endpoint.
     clock : callable
         Returns the current time in seconds.
+
+    Attributes
+    ----------
+    sent, failed : int
+        Probes sent, and those without an answer.
+    closed_connections : int
+        Idle connections closed after a failed probe.
     """
 
     def __init__(
@@ -52,6 +59,8 @@
         self._bucket = TokenBucket(rate_hz=0.0, burst=1.0, now_s=clock())
         self._in_flight: dict[str, ProbeTask] = {}
         self.sent = 0
+        self.failed = 0
+        self.closed_connections = 0
 
     def _take_token(self, *, now_s: float) -> bool:
         rate_hz = self._pools.bounds.probes_hz * self._pools.upstream_count
@@ -94,13 +103,16 @@
                 timeout_s=PROBE_TIMEOUT_S,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
             )
-        except TryFailedError:
+        except TryFailedError as error:
+            self.failed += 1
             # Other pooled connections to it may be dead too.
-            self._client.forget(view.upstream)
+            self.closed_connections += self._client.forget(view.upstream)
             view.mark_unresponsive(now_s=self._clock())
+            self._pools.on_unreached(view, error.result)
             return view
         finally:
             self._in_flight.pop(view.registration.id, None)
+        self._pools.on_reached(view)
         view.unhealthy = not answer.healthy
         if answer.report is not None:
             view.on_report(answer.report, now_s=self._clock())
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -170,11 +170,13 @@
         self._timers.pop(connection).cancel()
         connection.abort()
 
-    def forget(self, place: Place) -> None:
-        """Close the idle connections to a server."""
-        for connection in list(self._idle.get(place, ())):
+    def forget(self, place: Place) -> int:
+        """Close the idle connections to a server; return how many there were."""
+        connections = list(self._idle.get(place, ()))
+        for connection in connections:
             self._drop(place, connection)
         self._idle.pop(place, None)
+        return len(connections)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -264,9 +264,9 @@
         healthy = response.status == STATUS_OK
         return HealthAnswer(healthy=healthy, report=read.report, notice=read.notice)
 
-    def forget(self, upstream: Upstream) -> None:
-        """Close the idle connections to an upstream."""
-        self._http.forget((upstream.host, upstream.port))
+    def forget(self, upstream: Upstream) -> int:
+        """Close the idle connections to an upstream; return how many there were."""
+        return self._http.forget((upstream.host, upstream.port))
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/tests/lib/overload.py
+++ b/tests/lib/overload.py
@@ -234,7 +234,7 @@
         report = LoadReport(
             in_flight=upstream.requests, slots=upstream.slots, pace=self._pace(name)
         )
-        entry.pool.on_report(entry.pool.views[name], report, now_s=self._now_s)
+        entry.pool.views[name].on_report(report, now_s=self._now_s)
 
     def _place(self, request: Request) -> bool:
         pool = request.entry.pool
--- a/tests/lib/routed.py
+++ b/tests/lib/routed.py
@@ -164,6 +164,7 @@
         cold=RateAllowance(member=name, bounds=RateBounds()),
         on_removed=lambda view: None,
         rng=random.Random(1),
+        clock=lambda: 0.0,
     )
     pools.apply(FleetState(), entries=listed or frozenset({name}), now_s=0.0)
     return pools
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -79,8 +79,9 @@
     async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
         return HealthAnswer(healthy=True, report=make_report())
 
-    def forget(self, upstream: Any) -> None:
+    def forget(self, upstream: Any) -> int:
         """Do nothing: this client keeps no state per upstream."""
+        return 0
 
 
 def make_dispatcher(
@@ -98,6 +99,7 @@
         cold=make_cold(),
         on_removed=lambda view: None,
         rng=rng,
+        clock=clock,
     )
     pools.apply(fleet_state, entries=frozenset({"e0"}), now_s=clock())
     store: Any = None
--- a/tests/routed/test_fleet_size.py
+++ b/tests/routed/test_fleet_size.py
@@ -127,6 +127,6 @@
     (pool,) = make_fleet(entries=1, upstreams=upstreams)
     for i in range(200):
         pool.shortlist.on_request(now_s=i * 0.05)
-        pool.on_report(pool.views["u0"], make_report(), now_s=i * 0.05)
+        pool.views["u0"].on_report(make_report(), now_s=i * 0.05)
     views = pool.candidates(make_requirements(), now_s=10.0)
     assert len(views) >= min(upstreams, 100)
--- a/tests/routed/test_heavy_days.py
+++ b/tests/routed/test_heavy_days.py
@@ -51,7 +51,7 @@
                 break
             for view in self.pool.probe_targets(requirements, count=count, now_s=now_s):
                 pace = self.pace(view.registration.id, now_s=now_s)
-                self.pool.on_report(view, make_report(pace=pace), now_s=now_s)
+                view.on_report(make_report(pace=pace), now_s=now_s)
         chosen = self.pool.choose(requirements, now_s=now_s, fresh_only=True)
         assert chosen is not None
         return self.pace(chosen.view.registration.id, now_s=now_s)
@@ -85,7 +85,7 @@
         requirements = wait_policy.requirements(excluded=frozenset(), now_s=0.0)
         for view in pool.probe_targets(requirements, count=3, now_s=0.0):
             report = make_report(view.load.in_flight)
-            pool.on_report(view, report, now_s=0.0)
+            view.on_report(report, now_s=0.0)
         chosen = pool.choose(requirements, now_s=0.0, fresh_only=True)
         if chosen is not None:
             assert pool.start_request(chosen.view, now_s=0.0)
@@ -101,7 +101,7 @@
     for i in range(200):
         requirements = make_requirements(max_response_s=0.25)
         for view in pool.probe_targets(requirements, count=3, now_s=i * 0.01):
-            pool.on_report(view, make_report(), now_s=i * 0.01)
+            view.on_report(make_report(), now_s=i * 0.01)
         chosen = pool.choose(requirements, now_s=i * 0.01, fresh_only=True)
         assert chosen is not None
         pool.start_request(chosen.view, now_s=i * 0.01)
--- a/tests/routed/test_notices.py
+++ b/tests/routed/test_notices.py
@@ -55,7 +55,7 @@
     pool = make_pool(make_registration())
     send_notice(pool, LEAVING, now_s=1.0)
     apply(pool, make_registration(leaving=False, slots=5), now_s=2.0)
-    pool.on_report(pool.views["u1"], make_report(), now_s=3.0)
+    pool.views["u1"].on_report(make_report(), now_s=3.0)
     assert not is_used(pool, now_s=3.0)
 
 
@@ -89,7 +89,7 @@
 
 def test_a_load_report_can_carry_a_leave_notice() -> None:
     pool = make_pool(make_registration())
-    pool.on_report(pool.views["u1"], make_report(leaving=True), now_s=1.0)
+    pool.views["u1"].on_report(make_report(leaving=True), now_s=1.0)
     assert not is_used(pool, now_s=1.0)
 
 
--- a/tests/routed/test_pool.py
+++ b/tests/routed/test_pool.py
@@ -22,7 +22,7 @@
 
 
 def report(pool: ServicePool, name: str, **fields: Any) -> None:
-    pool.on_report(pool.views[name], make_report(**fields), now_s=1.0)
+    pool.views[name].on_report(make_report(**fields), now_s=1.0)
 
 
 def test_the_upstream_of_normal_pace_is_chosen() -> None:
@@ -41,7 +41,7 @@
 
 def test_a_full_upstream_is_full_until_its_requests_can_have_ended() -> None:
     pool = make_pool(make_registration())
-    pool.on_report(pool.views["u1"], make_report(4), now_s=1.0)
+    pool.views["u1"].on_report(make_report(4), now_s=1.0)
     requirements = make_requirements(queue_ratio=0.0)
     assert pool.choose(requirements, now_s=1.02) is None
     # By then, one of four requests of 0.1 s each may have ended.
--- /dev/null
+++ b/tests/routed/test_reachability.py
@@ -0,0 +1,76 @@
+"""What an entry concludes from upstreams that it can't reach."""
+
+from typing import Any
+
+import pytest
+from structlog.testing import capture_logs
+
+from borageramp_core import AttemptResult
+from borageramp_core.routing import ServiceReachability
+from tests.lib.routed import make_pools, make_registration
+
+
+def fail(
+    reachability: ServiceReachability, *names: str, at_s: float = 0.0, of: int = 8
+) -> list[bool]:
+    return [
+        reachability.on_failure(name, upstream_count=of, now_s=at_s) for name in names
+    ]
+
+
+def test_failures_of_several_upstreams_in_a_row_make_a_service_unreachable() -> None:
+    reachability = ServiceReachability()
+    assert fail(reachability, "u1", "u2", "u2") == [False, False, False]
+    assert not reachability.is_unreachable(now_s=0.0)
+    assert fail(reachability, "u3", "u4") == [True, False]
+    assert reachability.is_unreachable(now_s=1.0)
+    assert reachability.unreachable_s(now_s=1.0) == 1.0
+
+
+def test_an_answer_in_between_shows_that_the_path_is_there() -> None:
+    reachability = ServiceReachability()
+    fail(reachability, "u1", "u2")
+    assert not reachability.on_answer(now_s=0.1)
+    assert fail(reachability, "u3", "u4") == [False, False]
+    assert fail(reachability, "u5") == [True]
+    assert reachability.on_answer(now_s=0.3)
+    assert not reachability.is_unreachable(now_s=0.3)
+    assert reachability.answer_age_s(now_s=0.5) == pytest.approx(0.2)
+
+
+def test_failures_that_lie_far_apart_say_nothing() -> None:
+    reachability = ServiceReachability()
+    for i in range(6):
+        assert fail(reachability, f"u{i}", at_s=2.0 * i) == [False]
+
+
+def test_an_interruption_without_further_failures_is_forgotten() -> None:
+    reachability = ServiceReachability()
+    fail(reachability, "u1", "u2", "u3")
+    assert not reachability.is_unreachable(now_s=4.0)
+    assert reachability.unreachable_s(now_s=4.0) == 0.0
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_small_service_is_unreachable_once_all_of_it_failed(count: int) -> None:
+    reachability = ServiceReachability()
+    names = [f"u{i}" for i in range(count)]
+    assert fail(reachability, *names, of=count)[-1]
+
+
+def test_interruptions_are_logged_once_with_their_length() -> None:
+    pools = make_pools()
+    pool = pools.pool("records")
+    registrations = [make_registration(f"u{i}", port=1000 + i) for i in range(4)]
+    pool.apply(registrations, settings=None, evacuated_data_centres=(), now_s=0.0)
+    with capture_logs() as lines:
+        for view in pool.views.values():
+            pools.on_unreached(view, AttemptResult.UNREACHABLE)
+        assert pools.unreachable_service_count == 1
+        pools.on_reached(pool.views["u0"])
+        pools.on_reached(pool.views["u1"])
+    assert pools.unreachable_service_count == 0
+    events: list[Any] = [line["event"] for line in lines]
+    assert events == ["service unreachable", "service reachable"]
+    assert lines[0]["result"] == "unreachable" and lines[0]["answer_age_ms"] is None
+    assert lines[1]["unreachable_ms"] == 0
