--- /dev/null
+++ b/tests/lib/entry_process.py
@@ -0,0 +1,207 @@
+"""An entry process under test, and upstreams for it."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from borageramp_core.routing import Instance
+from borageramp_entry._internal.serving.http_response import HttpResponse
+from borageramp_entry.routed import HttpClient
+from tests.lib.platform_store import FakeStore
+from tests.lib.routed import HERE, make_instance
+
+__all__ = ["WORK_S", "EntryProcess", "StubUpstream", "free_port"]
+
+ROOT = Path(__file__).resolve().parents[2]
+WORK_S = 0.6
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class StubUpstream:
+    """Answers requests after ``WORK_S``, and health checks immediately.
+
+    Attributes
+    ----------
+    address : str
+        Address that it listens on.
+    endless : bool
+        Whether the bodies of its answers never end.
+    reads : bool
+        Whether it reads the bodies of requests.
+    work_s : float
+        Time until it answers a request.
+    """
+
+    def __init__(self) -> None:
+        self.served = 0
+        self.address = ""
+        self.endless = False
+        self.reads = True
+        self.work_s = WORK_S
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                echo = echoed_request_id(head)
+                body = b"well"
+                if "/healthz" not in head and not self.reads:
+                    await asyncio.sleep(3600)
+                if "/healthz" not in head and self.endless:
+                    await send_endless_answer(writer, echo)
+                if "/healthz" not in head:
+                    await asyncio.sleep(self.work_s)
+                    self.served += 1
+                    body = b"done"
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nBorageramp-Server-Load: 0,0,4,100\r\n"
+                    b"Borageramp-Response-Signature: s\r\n"
+                    + echo
+                    + b"Content-Length: 4\r\n\r\n"
+                    + body
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def echoed_request_id(head: str) -> bytes:
+    """Return the header line that names the request; empty for a health check."""
+    lines = [n for n in head.split("\r\n") if n.startswith("borageramp-request-id:")]
+    return "".join(f"{line}\r\n" for line in lines).encode()
+
+
+async def send_endless_answer(writer: asyncio.StreamWriter, echo: bytes) -> None:
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nBorageramp-Response-Signature: s\r\n"
+        + echo
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    while True:
+        writer.write(b"8000\r\n" + b"x" * 32_768 + b"\r\n")
+        await writer.drain()
+
+
+class EntryProcess:
+    """An entry process and the ports that it listens on.
+
+    Parameters
+    ----------
+    store : FakeStore
+        Store that it uses.
+    folder : Path
+        Where its settings file is written.
+    name, data_centre : str
+        Its name, and where it says that it is.
+    """
+
+    def __init__(
+        self,
+        store: FakeStore,
+        folder: Path,
+        *,
+        name: str = "front-1",
+        data_centre: str = HERE,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.front, self.check, self.directory = (free_port() for _ in range(3))
+        self.internal = [free_port(), free_port()]
+        self.boot = folder / f"{name}.yaml"
+        self._store = store
+        self.write_boot(probes_per_s=60)
+        self.client = HttpClient(idle_s=5.0, max_idle=4)
+
+    def write_boot(self, *, probes_per_s: float) -> None:
+        boot = {
+            "node_name": self.name,
+            "ip": "127.0.0.1",
+            "zone": self.data_centre,
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "readiness": f"127.0.0.1:{self.check}",
+                "directory": f"127.0.0.1:{self.directory}",
+            },
+            "internal_ports": self.internal,
+            "bounds": {"grace_s": 4, "ttl_max_s": 0.5, "probes_per_s": probes_per_s},
+            "platform": {"address": self._store.address},
+        }
+        self.boot.write_text(yaml.safe_dump(boot))
+
+    def record(self) -> Instance:
+        """Return the record by which it registers itself, but for its incarnation."""
+        return make_instance(
+            self.name,
+            data_centre=self.data_centre,
+            caller_address=f"127.0.0.1:{self.front}",
+            check_address=f"127.0.0.1:{self.check}",
+            peer_address=f"127.0.0.1:{self.internal[0]}",
+        )
+
+    async def start(self) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "start.py"),
+            env=os.environ | {"BORAGERAMP_BOOT": str(self.boot)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def send(
+        self,
+        port: int,
+        path: str,
+        *,
+        method: str = "GET",
+        request_id: str = "r1",
+        body: bytes = b"",
+    ) -> HttpResponse:
+        return await self.client.request(
+            ("127.0.0.1", port),
+            method,
+            path,
+            headers=(
+                ("host", b"a.example"),
+                ("borageramp-request-id", request_id.encode()),
+                ("borageramp-deadline-ms", b"3000"),
+            ),
+            body=body,
+            connect_timeout_s=1.0,
+        )
+
+    async def get(self, port: int, path: str, **request: Any) -> tuple[int, bytes]:
+        response = await self.send(port, path, **request)
+        body = b""
+        while part := await response.read():
+            body += part
+        return response.status, body
+
+    async def wait_until_ready(self) -> None:
+        while True:
+            try:
+                if (await self.get(self.check, "/-/readyz"))[0] == 200:
+                    return
+            except Exception:
+                # Not listening yet.
+                pass
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> list[str]:
+        """Stop the process; return the events of its log."""
+        self.client.close()
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        out, _ = await self.process.communicate()
+        return [json.loads(line)["event"] for line in out.decode().splitlines()]
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -2,190 +2,36 @@
 
 import asyncio
 import json
-import os
 import signal
-import socket
-import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
-import yaml
 
-from borageramp_entry._internal.serving.http_response import HttpResponse
-from borageramp_entry.routed import BrokenExchangeError, HttpClient
+from borageramp_entry.routed import BrokenExchangeError
+from tests.lib.entry_process import WORK_S, EntryProcess, StubUpstream
 from tests.lib.platform_store import FakeStore, running_store
-from tests.lib.routed import HERE, as_bytes, config_document, upstream_document
+from tests.lib.routed import as_bytes, config_document, upstream_document
 from tests.lib.stream_server import running_server
 
-ROOT = Path(__file__).resolve().parents[2]
-WORK_S = 0.6
 # Concurrent uploads whose bodies together exceed the memory of the smallest machines.
 UPLOADS = 60
 UPLOAD_BYTES = 4_000_000
 SMALLEST_MEMORY_BYTES = 200_000_000
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
-class Upstream:
-    """Answers requests after ``WORK_S``, and health checks immediately.
-
-    Attributes
-    ----------
-    address : str
-        Address that it listens on.
-    endless : bool
-        Whether the bodies of its answers never end.
-    reads : bool
-        Whether it reads the bodies of requests.
-    work_s : float
-        Time until it answers a request.
-    """
-
-    def __init__(self) -> None:
-        self.served = 0
-        self.address = ""
-        self.endless = False
-        self.reads = True
-        self.work_s = WORK_S
-
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-                echo = echoed_request_id(head)
-                body = b"well"
-                if "/healthz" not in head and not self.reads:
-                    await asyncio.sleep(3600)
-                if "/healthz" not in head and self.endless:
-                    await send_endless_answer(writer, echo)
-                if "/healthz" not in head:
-                    await asyncio.sleep(self.work_s)
-                    self.served += 1
-                    body = b"done"
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nBorageramp-Server-Load: 0,0,4,100\r\n"
-                    b"Borageramp-Response-Signature: s\r\n"
-                    + echo
-                    + b"Content-Length: 4\r\n\r\n"
-                    + body
-                )
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
-
-def echoed_request_id(head: str) -> bytes:
-    """Return the header line that names the request; empty for a health check."""
-    lines = [n for n in head.split("\r\n") if n.startswith("borageramp-request-id:")]
-    return "".join(f"{line}\r\n" for line in lines).encode()
-
-
-async def send_endless_answer(writer: asyncio.StreamWriter, echo: bytes) -> None:
-    writer.write(
-        b"HTTP/1.1 200 OK\r\nBorageramp-Response-Signature: s\r\n"
-        + echo
-        + b"Transfer-Encoding: chunked\r\n\r\n"
-    )
-    while True:
-        writer.write(b"8000\r\n" + b"x" * 32_768 + b"\r\n")
-        await writer.drain()
-
-
-class Instance:
-    """An entry process and the ports that it listens on."""
-
-    def __init__(
-        self, store: FakeStore, folder: Path, *, name: str = "front-1"
-    ) -> None:
-        self.name = name
-        self.front, self.check, self.directory = (free_port() for _ in range(3))
-        self.internal = [free_port(), free_port()]
-        self.boot = folder / f"{name}.yaml"
-        self._store = store
-        self.write_boot(probes_per_s=60)
-        self.client = HttpClient(idle_s=5.0, max_idle=4)
-
-    def write_boot(self, *, probes_per_s: float) -> None:
-        boot = {
-            "node_name": self.name,
-            "ip": "127.0.0.1",
-            "zone": HERE,
-            "listen": {
-                "front": f"127.0.0.1:{self.front}",
-                "readiness": f"127.0.0.1:{self.check}",
-                "directory": f"127.0.0.1:{self.directory}",
-            },
-            "internal_ports": self.internal,
-            "bounds": {"grace_s": 4, "ttl_max_s": 0.5, "probes_per_s": probes_per_s},
-            "platform": {"address": self._store.address},
-        }
-        self.boot.write_text(yaml.safe_dump(boot))
-
-    async def start(self) -> None:
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "platform" / "start.py"),
-            env=os.environ | {"BORAGERAMP_BOOT": str(self.boot)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-
-    async def send_get(self, port: int, path: str) -> HttpResponse:
-        return await self.client.request(
-            ("127.0.0.1", port),
-            "GET",
-            path,
-            headers=(
-                ("host", b"a.example"),
-                ("borageramp-request-id", b"r1"),
-                ("borageramp-deadline-ms", b"3000"),
-            ),
-            connect_timeout_s=1.0,
-        )
-
-    async def get(self, port: int, path: str) -> tuple[int, bytes]:
-        response = await self.send_get(port, path)
-        body = b""
-        while part := await response.read():
-            body += part
-        return response.status, body
-
-    async def wait_until_ready(self) -> None:
-        while True:
-            try:
-                if (await self.get(self.check, "/-/readyz"))[0] == 200:
-                    return
-            except Exception:
-                # Not listening yet.
-                pass
-            await asyncio.sleep(0.05)
-
-    async def stop(self) -> list[str]:
-        """Stop the process; return the events of its log."""
-        self.client.close()
-        if self.process.returncode is None:
-            self.process.send_signal(signal.SIGTERM)
-        out, _ = await self.process.communicate()
-        return [json.loads(line)["event"] for line in out.decode().splitlines()]
-
-
 def run_with_instance(
-    folder: Path, test: Callable[[Instance, FakeStore, Upstream], Awaitable[None]]
+    folder: Path,
+    test: Callable[[EntryProcess, FakeStore, StubUpstream], Awaitable[None]],
 ) -> list[str]:
     async def run() -> list[str]:
-        upstream = Upstream()
+        upstream = StubUpstream()
         async with running_server(upstream.serve) as port, running_store() as store:
             config = config_document(timeout_s=3)
             store.put("op/config", as_bytes(config))
             address = upstream.address = f"127.0.0.1:{port}"
             store.put("servers/u1", as_bytes(upstream_document(address=address)))
-            instance = Instance(store, folder)
+            instance = EntryProcess(store, folder)
             await instance.start()
             try:
                 async with asyncio.timeout(60):
@@ -199,7 +45,9 @@
 
 
 def test_a_request_is_served_and_an_unknown_route_is_not(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         assert await instance.get(instance.front, "/r/x") == (200, b"done")
         assert (await instance.get(instance.front, "/nowhere"))[0] == 404
         status, body = await instance.get(instance.directory, "/-/resolve?zone=north")
@@ -211,7 +59,9 @@
 
 
 def test_a_planned_stop_completes_requests_and_deregisters(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         while not any("instances/" in key for key in store.items):
             await asyncio.sleep(0.05)
         in_progress = asyncio.ensure_future(instance.get(instance.front, "/r/x"))
@@ -230,7 +80,9 @@
 
 # Guards against requests that are cut without an answer at the end of a planned stop.
 def test_a_request_that_outlasts_a_planned_stop_is_answered(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         upstream.work_s = 30.0
         instance.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.5)
@@ -242,7 +94,9 @@
 
 
 def test_settings_are_reloaded_and_invalid_ones_rejected(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         instance.write_boot(probes_per_s=10)
         instance.process.send_signal(signal.SIGHUP)
         assert await instance.get(instance.front, "/r/x") == (200, b"done")
@@ -255,7 +109,9 @@
 
 
 def test_an_entry_without_configuration_is_not_ready(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         instance.process.kill()
         await instance.process.wait()
         store.fault = "busy"
@@ -279,11 +135,13 @@
 def test_one_of_two_instances_watches_the_store_and_relays_changes(
     tmp_path: Path,
 ) -> None:
-    async def status(instance: Instance) -> int:
+    async def status(instance: EntryProcess) -> int:
         return (await instance.get(instance.front, "/new/x"))[0]
 
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
-        other = Instance(store, tmp_path, name="front-2")
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
+        other = EntryProcess(store, tmp_path, name="front-2")
         await other.start()
         try:
             await other.wait_until_ready()
@@ -304,14 +162,14 @@
     run_with_instance(tmp_path, test)
 
 
-def peak_bytes(instance: Instance) -> int:
+def peak_bytes(instance: EntryProcess) -> int:
     """Return the peak resident memory of the process."""
     status = Path(f"/proc/{instance.process.pid}/status").read_text()
     (line,) = (text for text in status.splitlines() if text.startswith("VmHWM"))
     return int(line.split()[1]) * 1024
 
 
-async def upload(instance: Instance, number: int) -> int:
+async def upload(instance: EntryProcess, number: int) -> int:
     """Send a large body; return the status of the answer, or 0 without one."""
     reader, writer = await asyncio.open_connection("127.0.0.1", instance.front)
     head = (
@@ -331,7 +189,9 @@
 
 
 def test_many_unread_uploads_fit_the_memory(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         config = config_document(2, timeout_s=3, kind="upload", attempts=1)
         config["resources"][2]["spec"]["max_body_bytes"] = 2 * UPLOAD_BYTES
         store.put("op/config", as_bytes(config))
@@ -351,10 +211,12 @@
 
 
 def test_an_endless_answer_is_aborted_at_its_deadline(tmp_path: Path) -> None:
-    async def test(instance: Instance, store: FakeStore, upstream: Upstream) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
         upstream.endless = True
         started_s = asyncio.get_running_loop().time()
-        response = await instance.send_get(instance.front, "/r/x")
+        response = await instance.send(instance.front, "/r/x")
         with pytest.raises(BrokenExchangeError):
             while await response.read():
                 await asyncio.sleep(0.001)
