--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -15,8 +15,7 @@
     StateItem,
     UpstreamView,
 )
-from borageramp_entry._internal.addresses import split_address
-from borageramp_entry._internal.border.server import HttpHandler, HttpServer
+from borageramp_entry._internal.border.server import HttpServer
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
 from borageramp_entry._internal.routed.change_source import ChangeSource
@@ -29,6 +28,7 @@
     compute_lease_s,
 )
 from borageramp_entry._internal.routed.interfaces import Platform
+from borageramp_entry._internal.routed.internal_servers import InternalServers
 from borageramp_entry._internal.routed.listener import BACKLOG
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.routed.prober import Prober
@@ -78,7 +78,7 @@
         self._stops_at_s = float("inf")
         self._config_received = asyncio.Event()
         self._background_tasks: list[asyncio.Task[Any]] = []
-        self._internal_servers: list[asyncio.Server] = []
+        self._internal_servers = InternalServers()
         self._listing_task: asyncio.Task[None]
         settings = self._settings
         self._own_instance = Instance(
@@ -214,7 +214,7 @@
         )
         self._handler.metrics = metrics
         resource = MetricsResource(metrics=metrics)
-        await self._start_internal_server(self._settings.metrics_address, resource)
+        await self._internal_servers.start(self._settings.metrics_address, resource)
 
     def _read_item(self, item: Item) -> StateItem | None:
         return decode_record(item) or self._platform.read_item(item)
@@ -346,20 +346,9 @@
         )
         readiness = ReadinessResource(ready=self._is_ready, path=dialect.ready_path)
         changes = ChangesResource(source=self._source)
-        await self._start_internal_server(settings.directory_address, directory)
-        await self._start_internal_server(settings.check_address, readiness)
-        await self._start_internal_server(settings.peer_address, changes)
-
-    async def _start_internal_server(
-        self, address: str | None, handler: HttpHandler
-    ) -> None:
-        if address is None:
-            return
-        host, port = split_address(address)
-        server = HttpServer(handler)
-        loop = asyncio.get_running_loop()
-        listening = await loop.create_server(server.connection, host, port)
-        self._internal_servers.append(listening)
+        await self._internal_servers.start(settings.directory_address, directory)
+        await self._internal_servers.start(settings.check_address, readiness)
+        await self._internal_servers.start(settings.peer_address, changes)
 
     async def _stop(self, caller_server: asyncio.Server) -> None:
         started_at_s = self._clock()
@@ -375,8 +364,7 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         for task in (*self._background_tasks, withdraw_task):
             task.cancel()
-        for server in self._internal_servers:
-            server.close()
+        self._internal_servers.close()
         await self._client.close()
         self._source.close()
         self._store.close()
