--- a/packages/cli/src/borageramp_cli/_internal/logwindows.py
+++ b/packages/cli/src/borageramp_cli/_internal/logwindows.py
@@ -17,7 +17,15 @@
 # Events that tell of a request, in the text of their lines.
 EVENTS = ('"placed"', '"try ended"', '"request ended"')
 ANSWERED = "answered"
-REFUSED = frozenset({"overloaded", "upstream_shed", "no_upstream", "not_serving"})
+REFUSED = frozenset(
+    {
+        "overloaded",
+        "upstream_shed",
+        "upstreams_unreachable",
+        "no_upstream",
+        "not_serving",
+    }
+)
 
 HEADER = (
     "from s",
--- a/packages/core/src/borageramp_core/_internal/reasons.py
+++ b/packages/core/src/borageramp_core/_internal/reasons.py
@@ -33,5 +33,6 @@
     DEADLINE_PASSED = "deadline_passed"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SHED = "upstream_shed"
+    UPSTREAMS_UNREACHABLE = "upstreams_unreachable"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     INTERNAL = "internal"
--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -16,7 +16,7 @@
     PlacementRequirements,
 )
 from borageramp_core._internal.routing.rate_allowance import RateAllowance
-from borageramp_core._internal.routing.reachability import ServiceReachability
+from borageramp_core._internal.routing.reachability import Reach, ServiceReachability
 from borageramp_core._internal.routing.response_time import response_time_estimator
 from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
@@ -124,7 +124,9 @@
         self.outliers.retain(v.upstream.id for v in self.views.values())
         self.shortlist.update(self.views.values())
         removed = [v for k, v in previous.items() if self.views.get(k) is not v]
+        self.reachability.upstream_count = len(self.views)
         for view in removed:
+            self.reachability.forget(view.registration.id)
             self._kept_notices.on_removed(view, now_s=now_s)
         for view in new_views:
             self._kept_notices.restore(view)
@@ -162,23 +164,24 @@
     def min_wait_s(self, *, now_s: float) -> float:
         """Return the least time for which this entry may send no request.
 
-        Returns
-        -------
-        float
-            Time in seconds until a pause ends or a rate limit allows a request; 0 if
-            neither is in the way, or if this entry has no share of any limit.
+        See :meth:`UpstreamEligibility.min_wait_s`.
         """
         return self._eligibility.min_wait_s(self.views.values(), now_s=now_s)
 
     def _is_healthy(self, view: UpstreamView, *, now_s: float) -> bool:
         if now_s < view.unresponsive_until_s:
             return False
+        if self.reachability.is_avoided(view.registration.id, now_s=now_s):
+            return False
         return not self.outliers.is_ejected(view.upstream.id, now_s=now_s)
 
     def candidates(
         self, requirements: PlacementRequirements, *, now_s: float
     ) -> list[UpstreamView]:
-        """Return the preferred upstreams; unhealthy ones only if there is no other."""
+        """Return the preferred upstreams; unhealthy ones only if there is no other.
+
+        Where the network is the cause, others would fail as well.
+        """
         width = self.shortlist.width(now_s=now_s)
         usable: list[UpstreamView] = []
         healthy: list[UpstreamView] = []
@@ -190,7 +193,9 @@
                 healthy.append(view)
                 if len(healthy) >= width:
                     break
-        return healthy or usable
+        if healthy or self.reachability.reach(now_s=now_s) is not Reach.FULL:
+            return healthy
+        return usable
 
     def probe_targets(
         self, requirements: PlacementRequirements, *, count: int, now_s: float
--- a/packages/core/src/borageramp_core/_internal/routing/reachability.py
+++ b/packages/core/src/borageramp_core/_internal/routing/reachability.py
@@ -1,45 +1,70 @@
 """Whether one entry reaches the upstreams of a service."""
 
-__all__ = ["ServiceReachability"]
+import enum
+
+__all__ = ["Reach", "ServiceReachability"]
 
 # Different upstreams that can't be reached, with no answer of any in between, until the
 # service counts as unreachable. Fewer fail together now and then.
 MIN_FAILED_UPSTREAMS = 3
+# Share of the upstreams that fail until a service counts as partly reachable.
+MIN_FAILED_SHARE = 0.5
 # Older failures say nothing about the network any more.
 FAILURE_RETENTION_S = 3.0
 
 
+class Reach(enum.StrEnum):
+    """How much of a service an entry reaches.
+
+    Attributes
+    ----------
+    FULL
+        No more than a few upstreams fail.
+    PARTIAL
+        Half of the upstreams or more can't be reached.
+    NONE
+        Several upstreams failed in a row, and none has answered since.
+    """
+
+    FULL = "full"
+    PARTIAL = "partial"
+    NONE = "none"
+
+
 class ServiceReachability:
     """What one entry knows of its network path to the upstreams of a service.
 
     A single upstream that doesn't answer may be down. If several fail in a row and none
     answers, either the whole service is down or the path of this entry is.
+
+    Attributes
+    ----------
+    upstream_count : int
+        Number of upstreams of the service.
     """
 
     def __init__(self) -> None:
+        self.upstream_count = 0
         self._failed_at_s: dict[str, float] = {}
+        self._failed_in_a_row: set[str] = set()
         self._answered_at_s = float("-inf")
-        self._unreachable_since_s = float("inf")
+        self._unreachable_since_s = float("-inf")
 
-    def on_answer(self, *, now_s: float) -> bool:
-        """Record an answer of any upstream; return whether it ends an interruption."""
-        was_unreachable = self.is_unreachable(now_s=now_s)
+    def on_answer(self, upstream_id: str, *, now_s: float) -> bool:
+        """Record an answer; return whether the service was unreachable before."""
+        was_unreachable = self.reach(now_s=now_s) is Reach.NONE
         self._answered_at_s = now_s
-        self._failed_at_s.clear()
-        self._unreachable_since_s = float("inf")
+        self._failed_at_s.pop(upstream_id, None)
+        self._failed_in_a_row.clear()
         return was_unreachable
 
-    def on_failure(
-        self, upstream_id: str, *, upstream_count: int, now_s: float
-    ) -> bool:
+    def on_failure(self, upstream_id: str, *, now_s: float) -> bool:
         """Record an upstream that could not be reached.
 
         Parameters
         ----------
         upstream_id : str
             Identifier of the upstream.
-        upstream_count : int
-            Number of upstreams of the service.
         now_s : float
             Current time in seconds.
 
@@ -48,25 +73,60 @@
         bool
             Whether the service became unreachable by it.
         """
-        was_unreachable = self.is_unreachable(now_s=now_s)
+        was_unreachable = self.reach(now_s=now_s) is Reach.NONE
+        self._expire(now_s=now_s)
         self._failed_at_s[upstream_id] = now_s
-        recent = {
-            name: failed_at_s
-            for name, failed_at_s in self._failed_at_s.items()
-            if now_s - failed_at_s <= FAILURE_RETENTION_S
-        }
-        self._failed_at_s = recent
-        if len(recent) < min(MIN_FAILED_UPSTREAMS, upstream_count):
+        self._failed_in_a_row.add(upstream_id)
+        if was_unreachable or self.reach(now_s=now_s) is not Reach.NONE:
             return False
-        if not was_unreachable:
-            self._unreachable_since_s = min(recent.values())
-        return not was_unreachable
+        self._unreachable_since_s = min(
+            self._failed_at_s[name] for name in self._failed_in_a_row
+        )
+        return True
 
-    def is_unreachable(self, *, now_s: float) -> bool:
-        """Return whether none of the service's upstreams seems to be reachable."""
-        if self._unreachable_since_s == float("inf"):
+    def _expire(self, *, now_s: float) -> None:
+        recent = self.failed(now_s=now_s)
+        self._failed_at_s = {name: self._failed_at_s[name] for name in recent}
+        self._failed_in_a_row.intersection_update(recent)
+
+    def forget(self, upstream_id: str) -> None:
+        """Remove an upstream that is gone or has restarted."""
+        self._failed_at_s.pop(upstream_id, None)
+        self._failed_in_a_row.discard(upstream_id)
+
+    def failed(self, *, now_s: float) -> list[str]:
+        """Return the upstreams that failed lately, the latest failure last."""
+        return [
+            name
+            for name, failed_at_s in sorted(
+                self._failed_at_s.items(), key=lambda item: item[1]
+            )
+            if now_s - failed_at_s <= FAILURE_RETENTION_S
+        ]
+
+    def reach(self, *, now_s: float) -> Reach:
+        """Return how much of the service can be reached."""
+        if not self._failed_at_s:
+            return Reach.FULL
+        failed = self.failed(now_s=now_s)
+        min_failed = min(MIN_FAILED_UPSTREAMS, self.upstream_count)
+        if not failed or len(failed) < min_failed:
+            return Reach.FULL
+        if len(self._failed_in_a_row.intersection(failed)) >= min_failed:
+            return Reach.NONE
+        if len(failed) >= MIN_FAILED_SHARE * self.upstream_count:
+            return Reach.PARTIAL
+        return Reach.FULL
+
+    def is_avoided(self, upstream_id: str, *, now_s: float) -> bool:
+        """Return whether an upstream that failed is better left alone.
+
+        While most upstreams answer, one that failed gets the next chance soon.
+        """
+        failed_at_s = self._failed_at_s.get(upstream_id)
+        if failed_at_s is None or now_s - failed_at_s > FAILURE_RETENTION_S:
             return False
-        return now_s - max(self._failed_at_s.values()) <= FAILURE_RETENTION_S
+        return self.reach(now_s=now_s) is not Reach.FULL
 
     def unreachable_s(self, *, now_s: float) -> float:
         """Return the time in seconds since the first failure of an interruption.
@@ -76,7 +136,7 @@
         float
             0 if the service is reachable.
         """
-        if not self.is_unreachable(now_s=now_s):
+        if self.reach(now_s=now_s) is not Reach.NONE:
             return 0.0
         return now_s - self._unreachable_since_s
 
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -17,6 +17,7 @@
     ServiceShare,
     StateItem,
 )
+from borageramp_core._internal.routing.peer_selection import PeerReport, PeerSelector
 from borageramp_core._internal.routing.placement import (
     PlacementChoice,
     PlacementRequirements,
@@ -28,7 +29,7 @@
     AnswerKind,
     RateLimitState,
 )
-from borageramp_core._internal.routing.reachability import ServiceReachability
+from borageramp_core._internal.routing.reachability import Reach, ServiceReachability
 from borageramp_core._internal.routing.relay_plan import RelayPlan
 from borageramp_core._internal.routing.retry_after import retry_after_s
 from borageramp_core._internal.routing.route_table import RouteTable, choose_service
@@ -57,9 +58,12 @@
     "LoadSnapshot",
     "MalformedItem",
     "Pause",
+    "PeerReport",
+    "PeerSelector",
     "PlacementChoice",
     "PlacementRequirements",
     "RateLimitState",
+    "Reach",
     "Registration",
     "RelayPlan",
     "RelaySource",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -11,36 +11,34 @@
     Instance,
     RateAllowance,
     RateBounds,
-    RelayPlan,
-    StateItem,
     UpstreamView,
 )
 from borageramp_entry._internal.border.server import HttpServer
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
-from borageramp_entry._internal.routed.change_source import ChangeSource
 from borageramp_entry._internal.routed.crashes import CrashDetector, make_suspects
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
-from borageramp_entry._internal.routed.fleet_state import FleetStateTask
-from borageramp_entry._internal.routed.instance_directory import InstanceDirectory
-from borageramp_entry._internal.routed.instance_registration import (
-    InstanceRegistrationTask,
-    compute_lease_s,
+from borageramp_entry._internal.routed.forwarded_handler import (
+    ForwardedRequestHandler,
+    PeerHandler,
+    ReachabilityCheck,
+    peer_limits,
 )
 from borageramp_entry._internal.routed.interfaces import Platform
 from borageramp_entry._internal.routed.internal_servers import InternalServers
 from borageramp_entry._internal.routed.listener import BACKLOG
+from borageramp_entry._internal.routed.peer_forwarding import PeerForwarder
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.routed.prober import Prober
-from borageramp_entry._internal.routed.records import decode_record
+from borageramp_entry._internal.routed.reachability_monitor import ReachabilityMonitor
 from borageramp_entry._internal.routed.resources import (
     ChangesResource,
     DirectoryResource,
     MetricsResource,
     ReadinessResource,
 )
+from borageramp_entry._internal.routed.store_sync import StoreSync
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
-from borageramp_entry._internal.store.base import Item
 
 __all__ = ["RoutedApp"]
 
@@ -79,7 +77,8 @@
         self._config_received = asyncio.Event()
         self._background_tasks: list[asyncio.Task[Any]] = []
         self._internal_servers = InternalServers()
-        self._listing_task: asyncio.Task[None]
+        self._registration_task: asyncio.Task[None]
+        self._peer_server: HttpServer
         settings = self._settings
         self._own_instance = Instance(
             name=settings.name,
@@ -91,55 +90,18 @@
             capacity=min(settings.cores, settings.link_mbps / MBPS_PER_CORE),
         )
         self._store = platform.open_store(settings)
-        self._build_state_sync()
-        self._build_serving()
-
-    def _build_state_sync(self) -> None:
-        settings = self._settings
-        self._relays = RelayPlan(own=self._own_instance)
-        self._source = ChangeSource(
+        self._sync = StoreSync(
+            platform=platform,
+            settings=settings,
             store=self._store,
-            prefix=self._platform.watched_prefix,
-            plan=self._relays,
-            gather_s=settings.gather_s,
-            rng=self._rng,
-            clock=self._clock,
-            on_watch_started=lambda: self._listing.renew_now(),
-        )
-        self._fleet_state_task = FleetStateTask(
-            store=self._store,
-            prefix=self._platform.watched_prefix,
-            read_item=self._read_item,
-            rejoin_s=settings.rejoin_s,
-            source=self._source,
-            on_change=self._on_fleet_state_change,
-            rng=self._rng,
-            clock=self._clock,
-        )
-        self._listing = InstanceRegistrationTask(
-            store=self._store,
-            instance=self._own_instance,
-            lease_s=compute_lease_s(
-                absence_s=settings.absence_s, gather_s=settings.gather_s
-            ),
-            # Does not require a configuration: listed instances agree on relays,
-            # so that only a few read the first configuration from the store.
-            ready=lambda: (
-                not self._stopping and self._fleet_state_task.initial_sync_done
-            ),
-            is_relay=lambda: self._source.is_relay,
-            on_store_checked=lambda answered: self._fleet_state_task.on_store_checked(
-                answered=answered
-            ),
-            rng=self._rng,
-        )
-        self._instances = InstanceDirectory(
             own=self._own_instance,
-            ready_path=self._platform.directory.ready_path,
-            store_age_s=self._fleet_state_task.age_s,
+            is_stopping=lambda: self._stopping,
+            on_change=self._on_fleet_state_change,
             on_gone=self._apply_to_pools,
             rng=self._rng,
+            clock=self._clock,
         )
+        self._build_serving()
 
     def _build_serving(self) -> None:
         bounds = self._settings.bounds
@@ -172,6 +134,10 @@
             health_path=self._health_path,
             clock=self._clock,
         )
+        self._monitor = ReachabilityMonitor(pools=self._pools, prober=self._prober)
+        self._forwarder = PeerForwarder(
+            own=self._own_instance, rng=self._rng, clock=self._clock
+        )
         dispatcher = RoutedDispatcher(
             pools=self._pools,
             prober=self._prober,
@@ -179,15 +145,23 @@
             crash_detector=self._crashes,
             rng=self._rng,
             clock=self._clock,
+            forwarder=self._forwarder,
         )
         self._handler = CallerRequestHandler(
-            fleet_state=self._fleet_state_task.fleet_state,
+            fleet_state=self._sync.fleet_state,
             dispatcher=dispatcher,
             dialect=self._platform.callers,
             stops_at_s=lambda: self._stops_at_s,
             rng=self._rng,
             clock=self._clock,
         )
+        self._forwarded_handler = ForwardedRequestHandler(
+            fleet_state=self._sync.fleet_state,
+            dispatcher=dispatcher,
+            stops_at_s=lambda: self._stops_at_s,
+            rng=self._rng,
+            clock=self._clock,
+        )
         self._server = HttpServer(self._handler)
 
     async def _serve_metrics(self) -> None:
@@ -206,21 +180,20 @@
         add_gauges(
             metrics,
             handler=self._handler,
-            fleet_state_task=self._fleet_state_task,
-            source=self._source,
+            fleet_state_task=self._sync.task,
+            source=self._sync.source,
             prober=self._prober,
             client=self._client,
             pools=self._pools,
+            forwarder=self._forwarder,
+            forwarded_handler=self._forwarded_handler,
         )
         self._handler.metrics = metrics
         resource = MetricsResource(metrics=metrics)
         await self._internal_servers.start(self._settings.metrics_address, resource)
 
-    def _read_item(self, item: Item) -> StateItem | None:
-        return decode_record(item) or self._platform.read_item(item)
-
     def _health_path(self, service: str) -> str | None:
-        config = self._fleet_state_task.fleet_state.config
+        config = self._sync.fleet_state.config
         service_config = config.services.get(service) if config is not None else None
         return service_config.health_path if service_config is not None else None
 
@@ -228,10 +201,12 @@
     def _stopping(self) -> bool:
         return self._stops_at_s < float("inf")
 
+    @property
+    def _requests_in_flight(self) -> int:
+        return self._handler.in_flight + self._forwarded_handler.in_flight
+
     def _is_ready(self) -> bool:
-        return (
-            not self._stopping and self._fleet_state_task.fleet_state.config is not None
-        )
+        return not self._stopping and self._sync.fleet_state.config is not None
 
     def _on_upstream_removed(self, view: UpstreamView) -> None:
         self._client.forget(view.upstream)
@@ -239,34 +214,33 @@
 
     def _on_fleet_state_change(self) -> None:
         began_at_s = self._clock()
-        fleet_state = self._fleet_state_task.fleet_state
+        fleet_state = self._sync.fleet_state
         if fleet_state.config is not None:
             self._config_received.set()
-        self._instances.update(fleet_state.instances())
-        self._relays.update(fleet_state.instances())
+        instances = self._sync.apply_instances()
         self._apply_to_pools()
         for suspect in fleet_state.crash_suspects():
             self._crashes.merge(suspect)
         if fleet_state.config is not None:
             self._server.limits = fleet_state.config.limits
-        listed = {i.name for i in fleet_state.instances()}
-        self._listing.on_instances_changed(listed)
+            self._peer_server.limits = peer_limits(fleet_state.config.limits)
         _log.info(
             "knowledge changed",
             revision=fleet_state.revision,
             config_version=fleet_state.config.version if fleet_state.config else None,
             data_centres_out=sorted(fleet_state.evacuated_data_centres()),
             upstreams=self._pools.upstream_count,
-            instances=len(listed),
-            source=self._source.source_name,
-            answer_gap_ms=round(self._source.answer_gap_s * 1000),
+            instances=len(instances),
+            source=self._sync.source.source_name,
+            answer_gap_ms=round(self._sync.source.answer_gap_s * 1000),
             took_ms=round((self._clock() - began_at_s) * 1000, 1),
         )
 
     def _apply_to_pools(self) -> None:
+        self._forwarder.update(self._sync.directory.others())
         self._pools.apply(
-            self._fleet_state_task.fleet_state,
-            entries=self._instances.names(),
+            self._sync.fleet_state,
+            entries=self._sync.directory.names(),
             now_s=self._clock(),
         )
 
@@ -293,14 +267,10 @@
             Set to request a shutdown.
         """
         await self._start_internal_servers()
-        self._listing_task = asyncio.ensure_future(self._listing.run())
-        self._background_tasks.append(self._listing_task)
-        for coroutine in (
-            self._fleet_state_task.run(),
-            self._instances.run(),
-            self._serve_metrics(),
-        ):
-            self._background_tasks.append(asyncio.ensure_future(coroutine))
+        registering, *others = self._sync.start()
+        self._registration_task = registering
+        metrics_task = asyncio.ensure_future(self._serve_metrics())
+        self._background_tasks = [registering, *others, metrics_task]
         await self._wait_for_config()
         caller_server = await self._start_caller_server()
         _log.info(
@@ -337,38 +307,55 @@
         settings = self._settings
         dialect = self._platform.directory
         directory = DirectoryResource(
-            instances=self._instances,
+            instances=self._sync.directory,
             ready=self._is_ready,
-            has_config=lambda: self._fleet_state_task.fleet_state.config is not None,
+            has_config=lambda: self._sync.fleet_state.config is not None,
             dialect=dialect,
             ttl_s=lambda: self._settings.directory_ttl_s,
             rng=self._rng,
         )
         readiness = ReadinessResource(ready=self._is_ready, path=dialect.ready_path)
-        changes = ChangesResource(source=self._source)
+        peers = PeerHandler(
+            forwarded=self._forwarded_handler,
+            check=ReachabilityCheck(
+                pools=self._pools,
+                prober=self._prober,
+                accepts=lambda: not self._stopping,
+                in_flight=lambda: self._requests_in_flight,
+                clock=self._clock,
+            ),
+            changes=ChangesResource(source=self._sync.source),
+        )
         await self._internal_servers.start(settings.directory_address, directory)
         await self._internal_servers.start(settings.check_address, readiness)
-        await self._internal_servers.start(settings.peer_address, changes)
+        self._peer_server = await self._internal_servers.start(
+            settings.peer_address, peers
+        )
 
     async def _stop(self, caller_server: asyncio.Server) -> None:
         started_at_s = self._clock()
         self._stops_at_s = started_at_s + self._settings.drain_s
-        _log.info("stopping", in_flight=self._handler.in_flight)
-        self._listing_task.cancel()
-        withdraw_task = asyncio.ensure_future(self._listing.unregister())
+        _log.info("stopping", in_flight=self._requests_in_flight)
+        self._registration_task.cancel()
+        withdraw_task = asyncio.ensure_future(self._sync.registration.unregister())
         # Callers cache addresses from the directory, so keep accepting connections
         # until those addresses expire.
         await asyncio.sleep(self._settings.leave_s)
         caller_server.close()
-        while self._server.close_idle() and self._clock() < self._stops_at_s:
+        while self._clock() < self._stops_at_s:
+            busy = self._server.close_idle() + self._forwarded_handler.in_flight
+            if not busy:
+                break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         for task in (*self._background_tasks, withdraw_task):
             task.cancel()
         self._internal_servers.close()
+        self._monitor.close()
+        self._forwarder.close()
         await self._client.close()
-        self._source.close()
+        self._sync.source.close()
         self._store.close()
         duration_s = self._clock() - started_at_s
         _log.info(
-            "stopped", in_flight=self._handler.in_flight, took_s=round(duration_s, 2)
+            "stopped", in_flight=self._requests_in_flight, took_s=round(duration_s, 2)
         )
--- a/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
@@ -3,9 +3,15 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from borageramp_core import AttemptResult, LoadReport, Notice
-from borageramp_core.routing import AnswerKind, PlacementChoice, WorkEstimate
+from borageramp_core.routing import (
+    AnswerKind,
+    PlacementChoice,
+    UpstreamView,
+    WorkEstimate,
+)
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import (
@@ -14,7 +20,7 @@
     UpstreamClient,
 )
 
-__all__ = ["RoutedAnswer", "RoutedAttempt"]
+__all__ = ["Attempt", "RoutedAnswer", "RoutedAttempt", "buffer_body"]
 
 # An answer up to this size is buffered before any of it is sent to the caller, so
 # that a truncated answer can be retried.
@@ -47,6 +53,69 @@
         return self.upstream_answer.head.status >= MIN_ERROR_STATUS
 
 
+async def buffer_body(
+    answer: UpstreamAnswer, *, deadline_s: float, clock: Callable[[], float]
+) -> RoutedAnswer:
+    """Read the body of an answer, or the first part of a large one.
+
+    Parameters
+    ----------
+    answer : UpstreamAnswer
+        The answer.
+    deadline_s : float
+        Time at which reading ends.
+    clock : callable
+        Returns the current time in seconds.
+
+    Raises
+    ------
+    TryFailedError
+        If the body was cut short or did not arrive in time.
+    """
+    chunks: list[bytes] = []
+    buffered_bytes = 0
+    while buffered_bytes <= MAX_BUFFERED_BYTES:
+        try:
+            chunk = await answer.read(max(0.0, deadline_s - clock()))
+        except TimeoutError:
+            raise TryFailedError(AttemptResult.TIMED_OUT) from None
+        if not chunk:
+            return RoutedAnswer(
+                upstream_answer=answer, body=b"".join(chunks), complete=True
+            )
+        chunks.append(chunk)
+        buffered_bytes += len(chunk)
+    return RoutedAnswer(upstream_answer=answer, body=b"".join(chunks), complete=False)
+
+
+class Attempt(Protocol):
+    """An attempt of a request, on an upstream or through another instance.
+
+    Attributes
+    ----------
+    view : UpstreamView or None
+        The upstream; ``None`` if another instance chooses it.
+    peer_name : str or None
+        Name of that instance.
+    """
+
+    view: UpstreamView | None
+    peer_name: str | None
+
+    async def run(self, request: CallerRequest) -> RoutedAnswer:
+        """Send the request and read the answer, or the first part of a large one.
+
+        Raises
+        ------
+        TryFailedError
+            If there is no answer, or it was truncated.
+        """
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the start of the attempt."""
+
+
 class RoutedAttempt:
     """An attempt of a request on a chosen upstream.
 
@@ -73,7 +142,9 @@
         client: UpstreamClient,
         clock: Callable[[], float],
     ) -> None:
-        self.view = choice.view
+        self.view: UpstreamView | None = choice.view
+        self.peer_name: str | None = None
+        self._view = choice.view
         self.started_at_s = clock()
         self._initial_pace = choice.view.pace
         self._load_snapshot = choice.view.load_snapshot(now_s=self.started_at_s)
@@ -106,16 +177,18 @@
     async def _run(self, request: CallerRequest) -> RoutedAnswer:
         remaining_s = request.deadline_s - self._clock()
         answer = await self._client.send(
-            self.view.upstream,
+            self._view.upstream,
             request,
             timeout_s=max(0.0, remaining_s),
             deadline_ms=int(remaining_s * 1000),
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, remaining_s)),
         )
-        self._pools.on_reached(self.view)
+        self._pools.on_reached(self._view)
         self._record_report(answer.report, answer.notice)
         try:
-            routed_answer = await self._buffer_body(answer, request)
+            routed_answer = await buffer_body(
+                answer, deadline_s=request.deadline_s, clock=self._clock
+            )
         except BaseException:
             answer.abort()
             raise
@@ -124,45 +197,24 @@
 
     def _record_failure(self, error: TryFailedError) -> None:
         if error.result is AttemptResult.UNREACHABLE:
-            self._pools.on_unreached(self.view, error.result)
+            self._pools.on_unreached(self._view, error.result)
         elif error.result is AttemptResult.SHED:
-            self._pools.on_reached(self.view)
+            self._pools.on_reached(self._view)
         self._record_report(error.report, error.notice)
 
     def _record_report(self, report: LoadReport | None, notice: Notice) -> None:
         """Record the upstream's load report and notice as soon as they arrive."""
         now_s = self._clock()
         if report is not None:
-            self.view.on_report(report, now_s=now_s)
+            self._view.on_report(report, now_s=now_s)
         self._pools.on_notice(
-            self.view,
+            self._view,
             notice,
             kind=AnswerKind.REQUEST,
             sent_at_s=self.started_at_s,
             now_s=now_s,
         )
 
-    async def _buffer_body(
-        self, answer: UpstreamAnswer, request: CallerRequest
-    ) -> RoutedAnswer:
-        chunks: list[bytes] = []
-        buffered_bytes = 0
-        while buffered_bytes <= MAX_BUFFERED_BYTES:
-            remaining_s = request.deadline_s - self._clock()
-            try:
-                chunk = await answer.read(max(0.0, remaining_s))
-            except TimeoutError:
-                raise TryFailedError(AttemptResult.TIMED_OUT) from None
-            if not chunk:
-                return RoutedAnswer(
-                    upstream_answer=answer, body=b"".join(chunks), complete=True
-                )
-            chunks.append(chunk)
-            buffered_bytes += len(chunk)
-        return RoutedAnswer(
-            upstream_answer=answer, body=b"".join(chunks), complete=False
-        )
-
     def _record_answer(self, routed_answer: RoutedAnswer) -> None:
         if routed_answer.failed:
             self.finish(AttemptResult.ERROR)
@@ -185,4 +237,4 @@
         if self._finished:
             return
         self._finished = True
-        self._pool.end_request(self.view, result, now_s=self._clock())
+        self._pool.end_request(self._view, result, now_s=self._clock())
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -13,7 +13,7 @@
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.interfaces import CallerDialect
 from borageramp_entry._internal.routed.request import RoutedRequest
-from borageramp_entry._internal.serving.requests import CallerRequest
+from borageramp_entry._internal.serving.requests import CallerRequest, Headers
 from borageramp_entry._internal.serving.upstreams import TryFailedError
 
 if TYPE_CHECKING:
@@ -56,8 +56,12 @@
     ----------
     metrics : Metrics or None
         Request metrics; ``None`` until they are loaded, shortly after startup.
+    end_event : str
+        Name of the log event at the end of a request.
     """
 
+    end_event = "request ended"
+
     def __init__(
         self,
         *,
@@ -176,6 +180,10 @@
             raise _refused_error(Reason.UNKNOWN_SERVICE, "no route matches the request")
         return route
 
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers of an upstream's answer that go to the caller."""
+        return headers
+
     def record_metrics(
         self, routed: RoutedRequest | None, outcome: str, duration_s: float
     ) -> None:
@@ -225,7 +233,7 @@
     def _log_end(self, outcome: str, duration_s: float) -> None:
         routed = self._routed
         _log.info(
-            "request ended",
+            self._handler.end_event,
             request_id=self._request_id,
             outcome=outcome,
             took_ms=round(duration_s * 1000, 1),
@@ -251,13 +259,14 @@
 
     async def _deliver(self, answer: RoutedAnswer) -> str:
         head = answer.upstream_answer.head
+        headers = self._handler.answer_headers(head.headers)
         close_connection = self._handler.is_stopping
         if answer.complete:
             self._request.answer(
-                head.status, head.headers, answer.body, last=close_connection
+                head.status, headers, answer.body, last=close_connection
             )
             return "failed" if answer.failed else "answered"
-        self._request.start(head.status, head.headers, last=close_connection)
+        self._request.start(head.status, headers, last=close_connection)
         return await self._stream(answer)
 
     async def _stream(self, answer: RoutedAnswer) -> str:
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -7,6 +7,7 @@
 from borageramp_entry._internal.routed.attempts import RoutedAnswer
 from borageramp_entry._internal.routed.crashes import CrashDetector
 from borageramp_entry._internal.routed.execution import RequestExecution
+from borageramp_entry._internal.routed.peer_forwarding import PeerForwarder
 from borageramp_entry._internal.routed.placement import Placer
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.routed.prober import Prober
@@ -37,6 +38,8 @@
         Source of randomness.
     clock : callable
         Returns the current time in seconds.
+    forwarder : PeerForwarder or None
+        Sends requests to other instances; ``None`` if there is no way to them.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         crash_detector: CrashDetector,
         rng: random.Random,
         clock: Callable[[], float],
+        forwarder: PeerForwarder | None = None,
     ) -> None:
         self.crash_detector = crash_detector
         self.pools = pools
@@ -55,6 +59,7 @@
         self._client = client
         self._rng = rng
         self._clock = clock
+        self._forwarder = forwarder
         self._placers: dict[str, Placer] = {}
 
     def placer(self, service: str) -> Placer:
@@ -93,6 +98,7 @@
             client=self._client,
             rng=self._rng,
             clock=self._clock,
+            forwarder=self._forwarder,
         )
         try:
             answer = await execution.execute()
--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -6,22 +6,31 @@
 
 from borageramp_core import AttemptResult, Reason, RefusedError, Verdict
 from borageramp_core.routing import (
+    Instance,
     PlacementChoice,
+    Reach,
     UpstreamView,
     WaitPolicy,
-    retry_after_s,
 )
-from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.routed.attempts import RoutedAnswer, RoutedAttempt
+from borageramp_entry._internal.routed.attempt_log import AttemptLog
+from borageramp_entry._internal.routed.attempts import (
+    Attempt,
+    RoutedAnswer,
+    RoutedAttempt,
+)
+from borageramp_entry._internal.routed.peer_forwarding import (
+    ForwardedAttempt,
+    PeerForwarder,
+    PeerRefusedError,
+)
 from borageramp_entry._internal.routed.placement import PendingPlacement, Placer
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.routed.request import RoutedRequest
+from borageramp_entry._internal.routed.request_refusals import RequestRefusals
 from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
 
 __all__ = ["RequestExecution"]
 
-_log = get_logger(__name__)
-
 # With less time left, as a multiple of the mean work, another attempt is of no use.
 MIN_REMAINING_TIME_RATIO = 0.7
 
@@ -49,6 +58,8 @@
         Source of randomness.
     clock : callable
         Returns the current time in seconds.
+    forwarder : PeerForwarder or None
+        Sends requests to other instances; ``None`` if there is no way to them.
 
     Attributes
     ----------
@@ -65,6 +76,7 @@
         client: UpstreamClient,
         rng: random.Random,
         clock: Callable[[], float],
+        forwarder: PeerForwarder | None = None,
     ) -> None:
         self._request = request
         self._caller = request.caller
@@ -73,12 +85,26 @@
         self._pool = placer.pool
         self._pools = pools
         self._client = client
-        self._rng = rng
         self._clock = clock
+        # A forwarded request is not forwarded again, so that it can't go in circles.
+        self._forwarder = None if request.forwarded else forwarder
         self._retry_budget = pools.retry_budget(request.caller.service)
         self._work_estimate = pools.work_estimate(request.route)
-        self._in_flight: dict[AttemptTask, RoutedAttempt] = {}
+        self._log = AttemptLog(
+            request_id=self._caller.request_id, pool=placer.pool, clock=clock
+        )
+        self._refusals = RequestRefusals(
+            request=request,
+            pool=placer.pool,
+            work=self._work_estimate,
+            rng=rng,
+            clock=clock,
+        )
+        self._in_flight: dict[AttemptTask, Attempt] = {}
         self._attempted_ids: set[str] = set()
+        self._asked_peers: set[str] = set()
+        self._peer_refusal: RefusedError | None = None
+        self._may_have_arrived = False
         self._run_count = 0
         self._hedge_at_s = float("inf")
         self._verdict = Verdict.NOT_RUN
@@ -86,7 +112,9 @@
         self._failed_answer: RoutedAnswer | None = None
         self.disconnected_views: list[UpstreamView] = []
         self._caller_age_s = self._estimate_caller_age_s()
-        self._retry_budget.earn()
+        if not request.forwarded:
+            # The instance that took it from its caller has counted it.
+            self._retry_budget.earn()
 
     def _estimate_caller_age_s(self) -> float:
         """Return how long the caller had probably waited before this request."""
@@ -98,6 +126,10 @@
             deadline_profile.on_request(caller_timeout_s)
         return deadline_profile.caller_age_s(caller_timeout_s)
 
+    @property
+    def _attempt_count(self) -> int:
+        return len(self._attempted_ids) + len(self._asked_peers)
+
     @property
     def _remaining_s(self) -> float:
         return self._caller.deadline_s - self._clock()
@@ -116,10 +148,8 @@
         RefusedError
             If no upstream answered it.
         """
-        choice = await self._placer.place(self._pending_placement(), wait=True)
-        if choice is None:
-            raise self._no_capacity_error()
-        self._start_attempt(choice)
+        if not await self._start_attempt(wait=True):
+            raise self._not_placed_error()
         while True:
             done, _ = await asyncio.wait(
                 self._in_flight,
@@ -162,39 +192,28 @@
             if error is None:
                 answer = task.result()
                 if not answer.failed:
-                    self._log_attempt_end(attempt, AttemptResult.ANSWERED)
+                    self._log.ended(attempt, AttemptResult.ANSWERED)
                     return answer
                 self._on_attempt_failed(attempt, AttemptResult.ERROR)
                 self._failed_answer = answer
             elif isinstance(error, TryFailedError):
+                if isinstance(error, PeerRefusedError):
+                    self._peer_refusal = error.refusal
                 self._on_attempt_failed(attempt, error.result)
             else:
                 raise error
         return None
 
-    def _on_attempt_failed(self, attempt: RoutedAttempt, result: AttemptResult) -> None:
-        self._log_attempt_end(attempt, result)
+    def _on_attempt_failed(self, attempt: Attempt, result: AttemptResult) -> None:
+        self._log.ended(attempt, result)
         self._last_result = result
-        if result is AttemptResult.DIED:
+        self._may_have_arrived |= result is not AttemptResult.UNREACHABLE
+        if result is AttemptResult.DIED and attempt.view is not None:
             self.disconnected_views.append(attempt.view)
         self._verdict = max(self._verdict, result.verdict, key=_VERDICT_SEVERITY.index)
         if result.verdict is Verdict.NOT_RUN:
             self._run_count -= 1
 
-    def _log_attempt_end(self, attempt: RoutedAttempt, result: AttemptResult) -> None:
-        _log.info(
-            "try ended",
-            request_id=self._caller.request_id,
-            upstream=attempt.view.registration.id,
-            result=result.value,
-            took_ms=round(attempt.elapsed_s * 1000, 1),
-            service_answer_age_ms=_age_ms(self._answer_age_s()),
-        )
-
-    def _answer_age_s(self) -> float:
-        now_s = self._clock()
-        return self._pool.reachability.answer_age_s(now_s=now_s)
-
     async def _start_next_attempt(self) -> bool:
         """Start another attempt if it is allowed and can still be useful."""
         if self._verdict is not Verdict.NOT_RUN and not self._route.idempotent:
@@ -206,16 +225,70 @@
             return False
         if self._remaining_s < MIN_REMAINING_TIME_RATIO * self._work_estimate.mean_s:
             return False
-        if not self._retry_budget.spend():
+        if self._is_refused_for_good():
+            return False
+        # Only what has reached an upstream counts as a retry there.
+        is_retry = bool(self._in_flight) or self._may_have_arrived
+        if is_retry and not self._retry_budget.spend():
             return False
         # While another attempt is in flight, this one isn't queued.
-        choice = await self._placer.place(
-            self._pending_placement(), wait=not self._in_flight
+        if await self._start_attempt(wait=not self._in_flight):
+            return True
+        if is_retry:
+            self._retry_budget.refund()
+        return False
+
+    def _is_refused_for_good(self) -> bool:
+        """Return whether other instances would refuse the request as well."""
+        refusal = self._peer_refusal
+        return refusal is not None and refusal.reason is Reason.CRASHES_UPSTREAMS
+
+    @property
+    def _reach(self) -> Reach:
+        return self._pool.reachability.reach(now_s=self._clock())
+
+    async def _start_attempt(self, *, wait: bool) -> bool:
+        """Start an attempt, through another instance if upstreams can't be reached.
+
+        Parameters
+        ----------
+        wait : bool
+            Whether the request may be queued until there is capacity.
+
+        Returns
+        -------
+        bool
+            Whether there is one.
+        """
+        if await self._attempt_here(wait=wait and self._reach is Reach.FULL):
+            return True
+        if self._reach is Reach.FULL:
+            return False
+        return await self._attempt_at_peer() or (
+            wait and await self._attempt_here(wait=True)
         )
+
+    async def _attempt_here(self, *, wait: bool) -> bool:
+        if self._reach is Reach.NONE:
+            return False
+        choice = await self._placer.place(self._pending_placement(), wait=wait)
         if choice is None:
-            self._retry_budget.refund()
             return False
-        self._start_attempt(choice)
+        self._run_on_upstream(choice)
+        return True
+
+    async def _attempt_at_peer(self) -> bool:
+        if self._forwarder is None:
+            return False
+        reach = self._reach
+        # What is unreachable for every instance is not passed around.
+        min_reach = Reach.PARTIAL if reach is Reach.NONE else Reach.FULL
+        peer = await self._forwarder.find(
+            self._caller.service, min_reach=min_reach, excluded=self._asked_peers
+        )
+        if peer is None:
+            return False
+        self._run_at_peer(peer, self._forwarder, reach=reach)
         return True
 
     def _pending_placement(self) -> PendingPlacement:
@@ -234,7 +307,7 @@
             fresh_only=not self._route.idempotent,
         )
 
-    def _start_attempt(self, choice: PlacementChoice) -> None:
+    def _run_on_upstream(self, choice: PlacementChoice) -> None:
         attempt = RoutedAttempt(
             choice=choice,
             pools=self._pools,
@@ -242,22 +315,27 @@
             client=self._client,
             clock=self._clock,
         )
-        view = choice.view
-        _log.info(
-            "placed",
-            request_id=self._caller.request_id,
-            upstream=view.registration.id,
-            try_number=len(self._attempted_ids) + 1,
-            expected_ms=round(choice.expected_s * 1000, 1),
-            pace=view.pace,
-            in_flight=view.load.in_flight,
-            others=view.load.others,
-            report_age_ms=_age_ms(view.report_age_s(now_s=self._clock())),
-            candidates=choice.candidate_count,
-            caller_age_ms=round(self._caller_age_s * 1000, 1),
-            limit_hz=view.rate_limit.hz if view.rate_limit.in_force else None,
+        self._log.placed(
+            choice, try_number=self._attempt_count + 1, caller_age_s=self._caller_age_s
+        )
+        self._attempted_ids.add(choice.view.registration.id)
+        self._run(attempt)
+
+    def _run_at_peer(
+        self, peer: Instance, forwarder: PeerForwarder, *, reach: Reach
+    ) -> None:
+        attempt = ForwardedAttempt(
+            instance=peer,
+            forwarder=forwarder,
+            request=self._request,
+            caller_age_s=self._caller_age_s,
+            clock=self._clock,
         )
-        self._attempted_ids.add(view.registration.id)
+        self._log.forwarded(peer, try_number=self._attempt_count + 1, reach=reach)
+        self._asked_peers.add(peer.name)
+        self._run(attempt)
+
+    def _run(self, attempt: Attempt) -> None:
         self._hedge_at_s = self._clock() + self._work_estimate.late_after_s
         self._run_count += 1
         task = asyncio.ensure_future(attempt.run(self._caller))
@@ -273,11 +351,7 @@
         if self._failed_answer is not None:
             return self._failed_answer
         if self._verdict is Verdict.NOT_RUN:
-            raise (
-                self._no_capacity_error()
-                if self._placer.queued_count
-                else self._shed_error()
-            )
+            raise self._not_run_error()
         if self._last_result is AttemptResult.TIMED_OUT:
             raise self._attempts_failed_error(Reason.DEADLINE_PASSED)
         raise self._attempts_failed_error(Reason.UPSTREAM_FAILED)
@@ -286,49 +360,27 @@
         verdict = self._verdict
         if self._in_flight:
             verdict = Verdict.MAY_HAVE_RUN
-        return RefusedError(
+        return self._refusals.failed(
+            reason,
             verdict=verdict,
-            reason=reason,
             detail=(
-                f"the last of {len(self._attempted_ids)} attempts "
+                f"the last of {self._attempt_count} attempts "
                 f"ended as {self._last_result}"
             ),
-            retry_after_s=self._retry_after_s(self._work_estimate.mean_s),
-        )
-
-    def _no_capacity_error(self) -> RefusedError:
-        return RefusedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.OVERLOADED if self._pool.views else Reason.NO_UPSTREAM,
-            detail=f"no upstream of {self._pool.name} has capacity",
-            retry_after_s=self._retry_after_s(
-                max(
-                    self._work_estimate.mean_s,
-                    self._pool.min_wait_s(now_s=self._clock()),
-                )
-            ),
-        )
-
-    def _shed_error(self) -> RefusedError:
-        """Return the refusal of a request that was shed by upstreams with capacity.
-
-        The next request may well be accepted, so the caller need not wait.
-        """
-        return RefusedError(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.UPSTREAM_SHED,
-            detail=f"{len(self._attempted_ids)} upstreams shed the request",
-            retry_after_s=self._retry_after_s(0.0),
-        )
-
-    def _retry_after_s(self, wait_s: float) -> float:
-        return retry_after_s(
-            wait_s=wait_s,
-            rank=self._route.rank,
-            left_s=self._remaining_s,
-            rng=self._rng,
         )
 
-
-def _age_ms(age_s: float) -> float | None:
-    return None if age_s == float("inf") else round(age_s * 1000, 1)
+    def _not_placed_error(self) -> RefusedError:
+        """Return the refusal of a request that found no upstream."""
+        if self._reach is Reach.NONE:
+            return self._refusals.unreachable()
+        return self._refusals.no_capacity()
+
+    def _not_run_error(self) -> RefusedError:
+        """Return the refusal of a request none of whose attempts ran."""
+        if self._peer_refusal is not None:
+            return self._refusals.by_peer(self._peer_refusal)
+        if self._last_result is AttemptResult.UNREACHABLE:
+            return self._refusals.unreachable()
+        if self._placer.queued_count:
+            return self._refusals.no_capacity()
+        return self._refusals.shed(len(self._attempted_ids))
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/forwarding_messages.py
@@ -0,0 +1,216 @@
+"""Messages between an instance that forwards a request and the one that takes it.
+
+A request is forwarded as it is, by HTTP/1.1, with one header more. So are answers of
+upstreams; a header marks a refusal of the instance itself.
+"""
+
+from typing import Annotated, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from borageramp_core import AttemptResult, Reason, RefusedError, Verdict
+from borageramp_core.routing import PeerReport, Reach, Route, ServiceShare
+from borageramp_entry._internal.routed.request import RoutedRequest
+from borageramp_entry._internal.serving.requests import Headers
+from borageramp_settings import StrictStruct
+
+__all__ = [
+    "FORWARDED_HEADER",
+    "REACHABILITY_PATH",
+    "REFUSAL_HEADER",
+    "ForwardedTerms",
+    "MalformedMessageError",
+    "attempt_result",
+    "decode_refusal",
+    "decode_report",
+    "decode_terms",
+    "encode_refusal",
+    "encode_report",
+    "encode_terms",
+    "has_terms",
+]
+
+FORWARDED_HEADER = "borageramp-forwarded"
+REFUSAL_HEADER = "borageramp-refusal"
+# Path at which an instance says how much of a service it reaches.
+REACHABILITY_PATH = "/reachability"
+
+T = TypeVar("T")
+NotNegative = Annotated[float, Meta(ge=0)]
+
+
+class MalformedMessageError(Exception):
+    """A message of another instance can't be decoded."""
+
+
+class ForwardedTerms(StrictStruct, frozen=True, kw_only=True):
+    """Terms of a forwarded request, as the instance that took it knows them.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifier of the request.
+    remaining_s : float
+        Time until its deadline.
+    age_s : float
+        Time since its caller probably first sent it.
+    service : str
+        Service that was chosen for it.
+    route : str
+        Name of its route.
+    idempotent : bool
+        Whether it may run more than once.
+    objective_s : float
+        Latency objective of the route.
+    rank : int
+        Priority; 0 is the highest.
+    """
+
+    request_id: str
+    remaining_s: NotNegative
+    age_s: NotNegative
+    service: str
+    route: str
+    idempotent: bool
+    objective_s: NotNegative
+    rank: int
+
+    def to_route(self) -> Route:
+        """Return a route for one attempt of the request.
+
+        The instance that forwards it decides on retries and hedges.
+        """
+        return Route(
+            name=self.route,
+            host="",
+            path_prefix="",
+            shares=(ServiceShare(service=self.service),),
+            idempotent=self.idempotent,
+            timeout_s=self.remaining_s,
+            objective_s=self.objective_s,
+            rank=self.rank,
+            max_runs=1,
+        )
+
+
+class _Refusal(StrictStruct, frozen=True, kw_only=True):
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    retry_after_s: NotNegative | None = None
+
+
+class _Report(StrictStruct, frozen=True, kw_only=True):
+    reach: Reach
+    in_flight: Annotated[int, Meta(ge=0)]
+
+
+def encode_terms(
+    request: RoutedRequest, *, caller_age_s: float, now_s: float
+) -> tuple[str, bytes]:
+    """Return the header with the terms of a request.
+
+    Parameters
+    ----------
+    request : RoutedRequest
+        The request.
+    caller_age_s : float
+        Time that its caller had probably waited before it arrived.
+    now_s : float
+        Current time in seconds.
+    """
+    terms = ForwardedTerms(
+        request_id=request.caller.request_id,
+        remaining_s=max(0.0, request.caller.deadline_s - now_s),
+        age_s=max(0.0, now_s - request.arrived_at_s + caller_age_s),
+        service=request.caller.service,
+        route=request.route.name,
+        idempotent=request.route.idempotent,
+        objective_s=request.route.objective_s,
+        rank=request.route.rank,
+    )
+    return FORWARDED_HEADER, msgspec.json.encode(terms)
+
+
+def has_terms(headers: Headers) -> bool:
+    """Return whether a request was forwarded by another instance."""
+    return any(name == FORWARDED_HEADER for name, _ in headers)
+
+
+def decode_terms(headers: Headers) -> ForwardedTerms:
+    """Decode the terms of a forwarded request.
+
+    Raises
+    ------
+    MalformedMessageError
+        If they are missing or invalid.
+    """
+    # The forwarding instance puts its own after those of the caller.
+    values = [value for name, value in headers if name == FORWARDED_HEADER]
+    if not values:
+        raise MalformedMessageError("the request has no terms")
+    return _decode(values[-1], ForwardedTerms)
+
+
+def encode_refusal(error: RefusedError) -> tuple[str, bytes]:
+    """Return the header that marks a refusal of an instance."""
+    refusal = _Refusal(
+        verdict=error.verdict,
+        reason=error.reason,
+        detail=error.detail,
+        retry_after_s=error.retry_after_s,
+    )
+    return REFUSAL_HEADER, msgspec.json.encode(refusal)
+
+
+def decode_refusal(headers: Headers) -> RefusedError | None:
+    """Return the refusal that an answer is; ``None`` for an upstream's answer.
+
+    Raises
+    ------
+    MalformedMessageError
+        If it is invalid.
+    """
+    value = dict(headers).get(REFUSAL_HEADER)
+    if value is None:
+        return None
+    refusal = _decode(value, _Refusal)
+    return RefusedError(**msgspec.structs.asdict(refusal))
+
+
+def attempt_result(refusal: RefusedError) -> AttemptResult:
+    """Return how an attempt ended that another instance refused."""
+    if refusal.verdict is Verdict.NOT_RUN:
+        # Only a shed request has reached an upstream.
+        if refusal.reason is Reason.UPSTREAM_SHED:
+            return AttemptResult.SHED
+        return AttemptResult.UNREACHABLE
+    if refusal.reason is Reason.DEADLINE_PASSED:
+        return AttemptResult.TIMED_OUT
+    return AttemptResult.DIED
+
+
+def encode_report(report: PeerReport) -> bytes:
+    """Encode what an instance says of itself."""
+    message = _Report(reach=report.reach, in_flight=report.in_flight)
+    return msgspec.json.encode(message)
+
+
+def decode_report(body: bytes) -> PeerReport:
+    """Decode what an instance says of itself.
+
+    Raises
+    ------
+    MalformedMessageError
+        If it is invalid.
+    """
+    message = _decode(body, _Report)
+    return PeerReport(reach=message.reach, in_flight=message.in_flight)
+
+
+def _decode(value: bytes, model: type[T]) -> T:
+    try:
+        return msgspec.json.decode(value, type=model)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedMessageError(f"invalid message: {error!r:.200}") from error
--- a/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -4,6 +4,10 @@
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
 from borageramp_entry._internal.routed.change_source import ChangeSource
 from borageramp_entry._internal.routed.fleet_state import FleetStateTask
+from borageramp_entry._internal.routed.forwarded_handler import (
+    ForwardedRequestHandler,
+)
+from borageramp_entry._internal.routed.peer_forwarding import PeerForwarder
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.routed.prober import Prober
 from borageramp_entry._internal.serving.upstreams import UpstreamClient
@@ -20,6 +24,8 @@
     prober: Prober,
     client: UpstreamClient,
     pools: PoolRegistry,
+    forwarder: PeerForwarder,
+    forwarded_handler: ForwardedRequestHandler,
 ) -> None:
     """Add the gauges of an entry; they are read when scraped."""
     gauge = metrics.gauge
@@ -56,6 +62,16 @@
         "Connections opened to upstreams.",
         lambda: client.opened,
     )
+    gauge(
+        "borageramp_forwarded_requests",
+        "Requests sent to other instances as upstreams could not be reached.",
+        lambda: forwarder.forwarded,
+    )
+    gauge(
+        "borageramp_forwarded_in_flight",
+        "Requests of other instances under way.",
+        lambda: forwarded_handler.in_flight,
+    )
     gauge(
         "borageramp_limited_upstreams",
         "Upstreams with a rate limit in force.",
--- a/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
@@ -94,6 +94,11 @@
         """Return the names of all instances, including lapsed ones."""
         return frozenset(self._registered) | frozenset(self._lapsed) | {self._own.name}
 
+    def others(self) -> list[Instance]:
+        """Return all other instances, including lapsed ones."""
+        known = (*self._registered.values(), *self._lapsed.values())
+        return [i for i in known if i.name != self._own.name]
+
     def usable(self, *, own_ready: bool) -> list[Instance]:
         """Return the instances that callers may use."""
         unconfirmed = (
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -0,0 +1,316 @@
+"""Forwarding of requests to instances that reach upstreams which this one doesn't."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Iterable
+from urllib.parse import quote
+
+from borageramp_core import AttemptResult, RefusedError
+from borageramp_core.routing import Instance, PeerSelector, Reach, UpstreamView
+from borageramp_entry._internal.addresses import split_address
+from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.routed.attempts import RoutedAnswer, buffer_body
+from borageramp_entry._internal.routed.forwarding_messages import (
+    REACHABILITY_PATH,
+    MalformedMessageError,
+    attempt_result,
+    decode_refusal,
+    decode_report,
+    encode_terms,
+)
+from borageramp_entry._internal.routed.request import RoutedRequest
+from borageramp_entry._internal.serving.dialect import HOP_BY_HOP, pass_headers
+from borageramp_entry._internal.serving.http_client import (
+    HttpClient,
+    NotConnectedError,
+)
+from borageramp_entry._internal.serving.http_response import (
+    BrokenExchangeError,
+    HttpResponse,
+)
+from borageramp_entry._internal.serving.requests import AnswerHead, CallerRequest
+from borageramp_entry._internal.serving.upstreams import (
+    TryFailedError,
+    UpstreamAnswer,
+)
+
+__all__ = ["ForwardedAttempt", "PeerForwarder", "PeerRefusedError"]
+
+_log = get_logger(__name__)
+
+# Instances that are asked at a time whether they reach a service; all of them may be
+# cut off as well.
+ASK_COUNTS = (3, 6, 12)
+ASK_TIMEOUT_S = 0.15
+CONNECT_TIMEOUT_S = 0.15
+IDLE_TIMEOUT_S = 5.0
+# Idle connections kept to one instance.
+MAX_IDLE_CONNECTIONS = 8
+STATUS_OK = 200
+
+
+class PeerRefusedError(TryFailedError):
+    """Another instance refused a forwarded request.
+
+    Parameters
+    ----------
+    refusal : RefusedError
+        Its refusal.
+    """
+
+    def __init__(self, refusal: RefusedError) -> None:
+        super().__init__(attempt_result(refusal))
+        self.refusal = refusal
+
+
+class PeerForwarder:
+    """Finds instances that reach a service, and sends them requests.
+
+    Parameters
+    ----------
+    own : Instance
+        This instance.
+    rng : random.Random
+        Source of randomness.
+    clock : callable
+        Returns the current time in seconds.
+
+    Attributes
+    ----------
+    forwarded : int
+        Requests sent to other instances.
+    """
+
+    def __init__(
+        self, *, own: Instance, rng: random.Random, clock: Callable[[], float]
+    ) -> None:
+        self._selector = PeerSelector(own=own, rng=rng)
+        self._clock = clock
+        # An instance may be cut off while its upstream works on a request.
+        self._http = HttpClient(
+            idle_s=IDLE_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS, watched=True
+        )
+        self._asks: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self.forwarded = 0
+
+    def update(self, instances: Iterable[Instance]) -> None:
+        """Apply the list of instances."""
+        self._selector.update(instances)
+
+    async def find(
+        self, service: str, *, min_reach: Reach, excluded: Collection[str]
+    ) -> Instance | None:
+        """Return an instance that has just said that it reaches a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        min_reach : Reach
+            How much of it the instance has to reach.
+        excluded : collection of str
+            Names of instances to leave out.
+        """
+
+        def choose() -> Instance | None:
+            return self._selector.choose(
+                service, min_reach=min_reach, excluded=excluded, now_s=self._clock()
+            )
+
+        peer = choose()
+        for count in ASK_COUNTS:
+            if peer is not None:
+                break
+            pending = self._start_asks(service, count=count, excluded=excluded)
+            if not pending:
+                break
+            while pending and peer is None:
+                _, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                peer = choose()
+        return peer
+
+    def _start_asks(
+        self, service: str, *, count: int, excluded: Collection[str]
+    ) -> set[asyncio.Task[None]]:
+        instances = self._selector.to_ask(
+            service, count=count, excluded=excluded, now_s=self._clock()
+        )
+        tasks = set()
+        for instance in instances:
+            key = (instance.name, service)
+            task = self._asks.get(key)
+            if task is None:
+                task = asyncio.ensure_future(self._ask(instance, service))
+                self._asks[key] = task
+            tasks.add(task)
+        return tasks
+
+    async def _ask(self, instance: Instance, service: str) -> None:
+        path = f"{REACHABILITY_PATH}?service={quote(service, safe='')}"
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                response = await self._http.request(
+                    _place(instance), "GET", path, connect_timeout_s=CONNECT_TIMEOUT_S
+                )
+                report = decode_report(await _read_small(response))
+        except (
+            NotConnectedError,
+            BrokenExchangeError,
+            MalformedMessageError,
+            TimeoutError,
+        ) as error:
+            _log.info("no answer", instance=instance.name, error=repr(error))
+            self._selector.on_no_answer(instance.name, now_s=self._clock())
+        else:
+            self._selector.on_report(
+                instance.name, service, report, now_s=self._clock()
+            )
+        finally:
+            del self._asks[instance.name, service]
+
+    async def send(
+        self, instance: Instance, request: RoutedRequest, *, caller_age_s: float
+    ) -> UpstreamAnswer:
+        """Send a request to an instance and wait for the head of the answer.
+
+        Parameters
+        ----------
+        instance : Instance
+            Instance that takes the request.
+        request : RoutedRequest
+            The request.
+        caller_age_s : float
+            Time that its caller had probably waited before it arrived.
+
+        Raises
+        ------
+        TryFailedError
+            If no answer came, or the instance refused the request.
+        """
+        now_s = self._clock()
+        caller = request.caller
+        terms = encode_terms(request, caller_age_s=caller_age_s, now_s=now_s)
+        self.forwarded += 1
+        self._selector.on_start(instance.name)
+        try:
+            async with asyncio.timeout(max(0.0, caller.deadline_s - now_s)):
+                response = await self._http.request(
+                    _place(instance),
+                    caller.method,
+                    caller.path,
+                    headers=(*caller.headers, terms),
+                    body=caller.body,
+                    upload=caller.upload,
+                    connect_timeout_s=CONNECT_TIMEOUT_S,
+                )
+        except TimeoutError:
+            raise TryFailedError(AttemptResult.TIMED_OUT) from None
+        except NotConnectedError as error:
+            raise self._failed(instance, AttemptResult.UNREACHABLE) from error
+        except BrokenExchangeError as error:
+            raise self._failed(instance, AttemptResult.DIED) from error
+        finally:
+            self._selector.on_end(instance.name)
+        self._check_refusal(instance, caller.service, response)
+        head = AnswerHead(
+            status=response.status,
+            headers=pass_headers(response.headers, but=HOP_BY_HOP),
+        )
+        return UpstreamAnswer(head=head, report=None, _response=response)
+
+    def _failed(self, instance: Instance, result: AttemptResult) -> TryFailedError:
+        self._selector.on_no_answer(instance.name, now_s=self._clock())
+        return TryFailedError(result)
+
+    def _check_refusal(
+        self, instance: Instance, service: str, response: HttpResponse
+    ) -> None:
+        try:
+            refusal = decode_refusal(response.headers)
+        except MalformedMessageError as error:
+            response.close_connection()
+            _log.warning("refusal unreadable", instance=instance.name, error=str(error))
+            raise self._failed(instance, AttemptResult.DIED) from error
+        if refusal is not None:
+            response.discard()
+            self._selector.avoid(instance.name, service, now_s=self._clock())
+            raise PeerRefusedError(refusal)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._http.close()
+
+
+class ForwardedAttempt:
+    """An attempt of a request through another instance.
+
+    Parameters
+    ----------
+    instance : Instance
+        Instance that chooses the upstream.
+    forwarder : PeerForwarder
+        Sends the request there.
+    request : RoutedRequest
+        The request.
+    caller_age_s : float
+        Time that its caller had probably waited before it arrived.
+    clock : callable
+        Returns the current time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: Instance,
+        forwarder: PeerForwarder,
+        request: RoutedRequest,
+        caller_age_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self.view: UpstreamView | None = None
+        self.peer_name: str | None = instance.name
+        self._instance = instance
+        self._forwarder = forwarder
+        self._request = request
+        self._caller_age_s = caller_age_s
+        self._clock = clock
+        self._started_at_s = clock()
+
+    async def run(self, request: CallerRequest) -> RoutedAnswer:
+        """Forward the request and read the answer, or the first part of a large one.
+
+        Raises
+        ------
+        TryFailedError
+            If there is no answer, or it was truncated.
+        """
+        answer = await self._forwarder.send(
+            self._instance, self._request, caller_age_s=self._caller_age_s
+        )
+        try:
+            return await buffer_body(
+                answer, deadline_s=request.deadline_s, clock=self._clock
+            )
+        except BaseException:
+            answer.abort()
+            raise
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the start of the attempt."""
+        return self._clock() - self._started_at_s
+
+
+def _place(instance: Instance) -> tuple[str, int]:
+    assert instance.peer_address is not None
+    return split_address(instance.peer_address)
+
+
+async def _read_small(response: HttpResponse) -> bytes:
+    """Return the whole body of a small answer; its connection stays usable."""
+    parts = []
+    while part := await response.read():
+        parts.append(part)
+    return b"".join(parts)
--- a/packages/entry/src/borageramp_entry/_internal/routed/placement.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/placement.py
@@ -10,6 +10,7 @@
     AdmissionQueue,
     PlacementChoice,
     PlacementRequirements,
+    Reach,
     ServicePool,
     UpstreamView,
     WaitPolicy,
@@ -123,6 +124,8 @@
         """Return whether a request may be served by waiting behind others."""
         now_s = self._clock()
         policy = pending.wait_policy
+        if self.pool.reachability.reach(now_s=now_s) is Reach.NONE:
+            return False
         return now_s < policy.wait_until_s and self.pool.can_serve(
             pending.requirements(now_s=now_s),
             max_wait_s=policy.in_time_wait_s(now_s=now_s),
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -11,6 +11,7 @@
     DeadlineProfile,
     FleetState,
     RateAllowance,
+    Reach,
     Registration,
     Route,
     ServicePool,
@@ -49,6 +50,12 @@
         Source of randomness.
     clock : callable
         Returns the current time in seconds.
+
+    Attributes
+    ----------
+    on_impaired : callable
+        Called with the name of a service when another of its upstreams can't be
+        reached while many can't.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         self._on_removed = on_removed
         self._rng = rng
         self._clock = clock
+        self.on_impaired: Callable[[str], None] = lambda service: None
         self._entry_count = 1
         self.limited_attempts = 0
         self._pools: dict[str, ServicePool] = {}
@@ -129,6 +137,11 @@
             self._pools[service] = pool
         return pool
 
+    def has_upstreams(self, service: str) -> bool:
+        """Return whether any upstream of a service is registered."""
+        pool = self._pools.get(service)
+        return pool is not None and bool(pool.views)
+
     def retry_budget(self, service: str) -> RatioBudget:
         """Return this entry's retry budget for a service."""
         budget = self._retry_budgets.get(service)
@@ -153,7 +166,7 @@
         """Number of services none of whose upstreams seems to be reachable."""
         now_s = self._clock()
         pools = self._pools.values()
-        return sum(p.reachability.is_unreachable(now_s=now_s) for p in pools)
+        return sum(p.reachability.reach(now_s=now_s) is Reach.NONE for p in pools)
 
     def on_reached(self, view: UpstreamView) -> None:
         """Record that an upstream answered, whatever it answered."""
@@ -161,7 +174,7 @@
         service = view.registration.service
         reachability = self.pool(service).reachability
         unreachable_s = reachability.unreachable_s(now_s=now_s)
-        if reachability.on_answer(now_s=now_s):
+        if reachability.on_answer(view.registration.id, now_s=now_s):
             _log.warning(
                 "service reachable",
                 service=service,
@@ -183,9 +196,7 @@
         service = view.registration.service
         pool = self.pool(service)
         age_s = pool.reachability.answer_age_s(now_s=now_s)
-        if pool.reachability.on_failure(
-            view.registration.id, upstream_count=len(pool.views), now_s=now_s
-        ):
+        if pool.reachability.on_failure(view.registration.id, now_s=now_s):
             _log.warning(
                 "service unreachable",
                 service=service,
@@ -193,6 +204,8 @@
                 result=result.value,
                 answer_age_ms=None if age_s == float("inf") else round(age_s * 1000),
             )
+        if pool.reachability.reach(now_s=now_s) is not Reach.FULL:
+            self.on_impaired(service)
 
     def on_attempt(self, view: UpstreamView) -> None:
         """Count an attempt if its upstream has a rate limit."""
--- a/packages/entry/src/borageramp_entry/_internal/routed/request.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/request.py
@@ -23,9 +23,12 @@
         Time of arrival.
     caller_timeout_s : float or None
         Time from arrival for which the caller waits; ``None`` if it set none.
+    forwarded : bool
+        Whether another instance forwarded it; it is not forwarded again.
     """
 
     caller: CallerRequest
     route: Route
     arrived_at_s: float
     caller_timeout_s: float | None = None
+    forwarded: bool = False
--- a/tests/routed/test_dispatch.py
+++ b/tests/routed/test_dispatch.py
@@ -1,120 +1,15 @@
 """Retries, hedges and refusals of requests sent to scripted upstreams."""
 
 import asyncio
-import random
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import pytest
 
 from borageramp_core import AttemptResult, Notice, Reason, RefusedError, Verdict
-from borageramp_core.routing import FleetState
-from borageramp_entry._internal.routed.crashes import CrashDetector, make_suspects
-from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
-from borageramp_entry._internal.routed.pools import PoolRegistry
-from borageramp_entry._internal.routed.prober import Prober
 from borageramp_entry._internal.routed.request import RoutedRequest
-from borageramp_entry._internal.serving.http_connection import HttpConnection
-from borageramp_entry._internal.serving.http_response import HttpResponse
-from borageramp_entry._internal.serving.upstreams import (
-    HealthAnswer,
-    TryFailedError,
-    UpstreamAnswer,
-)
-from borageramp_entry.routed import AnswerHead, CallerRequest
-from borageramp_settings import FleetBounds
-from tests.lib.routed import (
-    HERE,
-    make_cold,
-    make_config,
-    make_registration,
-    make_report,
-    make_route,
-)
-
-
-@dataclass(frozen=True)
-class ShedWithNotice:
-    """A step that sheds the request and sends a notice."""
-
-    notice: Notice
-
-
-Step = AttemptResult | int | str | ShedWithNotice
-
-
-class ScriptedClient:
-    """Upstreams that follow a script with one step per request.
-
-    A step is the failure of a try, the status of an answer, or ``hang``.
-    """
-
-    def __init__(self, *steps: Step) -> None:
-        self._steps = list(steps)
-        self.sent: list[str] = []
-        self.cancelled: list[str] = []
-        self.clock_reads = 0
-
-    async def send(self, upstream: Any, request: Any, **_: Any) -> UpstreamAnswer:
-        self.sent.append(upstream.name)
-        step = self._steps.pop(0)
-        if step == "hang":
-            try:
-                await asyncio.sleep(3600)
-            except asyncio.CancelledError:
-                self.cancelled.append(upstream.name)
-                raise
-        if isinstance(step, AttemptResult):
-            raise TryFailedError(step)
-        if isinstance(step, ShedWithNotice):
-            raise TryFailedError(AttemptResult.SHED, notice=step.notice)
-        response = HttpResponse(HttpConnection(on_idle=lambda connection: None))
-        response.on_head(int(step), ())
-        response.on_body(b"body")
-        response.on_end(whole=True)
-        head = AnswerHead(status=int(step), headers=())
-        return UpstreamAnswer(head=head, report=None, _response=response)
-
-    async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
-        return HealthAnswer(healthy=True, report=make_report())
-
-    def forget(self, upstream: Any) -> int:
-        """Do nothing: this client keeps no state per upstream."""
-        return 0
-
-
-def make_dispatcher(
-    client: Any, *, clock: Callable[[], float], upstreams: int = 4
-) -> RoutedDispatcher:
-    fleet_state = FleetState()
-    fleet_state.put("op/config", make_config())
-    for i in range(upstreams):
-        fleet_state.put(f"servers/u{i}", make_registration(f"u{i}", port=1000 + i))
-    rng = random.Random(1)
-    pools = PoolRegistry(
-        member="e0",
-        data_centre=HERE,
-        bounds=FleetBounds(probes_hz=1000.0, retry_ratio=1.0),
-        cold=make_cold(),
-        on_removed=lambda view: None,
-        rng=rng,
-        clock=clock,
-    )
-    pools.apply(fleet_state, entries=frozenset({"e0"}), now_s=clock())
-    store: Any = None
-    return RoutedDispatcher(
-        pools=pools,
-        prober=Prober(
-            client=client, pools=pools, health_path=lambda s: "/healthz", clock=clock
-        ),
-        client=client,
-        crash_detector=CrashDetector(
-            instance="e0", suspects=make_suspects(), store=store, client=client
-        ),
-        rng=rng,
-        clock=clock,
-    )
+from borageramp_entry.routed import CallerRequest
+from tests.lib.dispatching import ScriptedClient, ShedWithNotice, make_dispatcher
+from tests.lib.routed import make_route
 
 
 class StubUpload:
--- /dev/null
+++ b/tests/routed/test_peer_selection.py
@@ -0,0 +1,121 @@
+"""Which instance a request is forwarded to."""
+
+import random
+from collections import Counter
+
+from borageramp_core.routing import Instance, PeerReport, PeerSelector, Reach
+from tests.lib.routed import AWAY, make_instance
+
+SERVICE = "records"
+
+
+def make_selector(*instances: Instance) -> PeerSelector:
+    selector = PeerSelector(own=make_instance("own"), rng=random.Random(1))
+    selector.update(instances)
+    return selector
+
+
+def report(
+    selector: PeerSelector,
+    name: str,
+    reach: Reach = Reach.FULL,
+    *,
+    in_flight: int = 0,
+    at_s: float = 0.0,
+) -> None:
+    selector.on_report(
+        name, SERVICE, PeerReport(reach=reach, in_flight=in_flight), now_s=at_s
+    )
+
+
+def asked(selector: PeerSelector, *, count: int = 9, now_s: float = 0.0) -> set[str]:
+    instances = selector.to_ask(SERVICE, count=count, excluded=(), now_s=now_s)
+    return {i.name for i in instances}
+
+
+def chosen(
+    selector: PeerSelector,
+    *,
+    min_reach: Reach = Reach.PARTIAL,
+    excluded: tuple[str, ...] = (),
+    now_s: float = 0.0,
+) -> str | None:
+    peer = selector.choose(SERVICE, min_reach=min_reach, excluded=excluded, now_s=now_s)
+    return peer.name if peer is not None else None
+
+
+def test_instances_of_the_own_data_centre_are_asked_first() -> None:
+    away = [make_instance(f"a{i}", data_centre=AWAY) for i in range(5)]
+    here = [make_instance(f"h{i}") for i in range(2)]
+    selector = make_selector(*away, *here)
+    names = asked(selector, count=3)
+    assert {"h0", "h1"} < names and len(names) == 3
+
+
+def test_only_what_has_just_reported_is_chosen() -> None:
+    selector = make_selector(make_instance("p1"))
+    assert chosen(selector) is None
+    report(selector, "p1")
+    assert chosen(selector, now_s=0.2) == "p1"
+    assert asked(selector, now_s=0.2) == set()
+    assert chosen(selector, now_s=0.3) is None
+    assert asked(selector, now_s=0.3) == {"p1"}
+
+
+def test_an_instance_that_does_not_reach_the_service_is_left_for_a_while() -> None:
+    selector = make_selector(make_instance("p1"), make_instance("p2"))
+    report(selector, "p1", Reach.NONE)
+    selector.on_no_answer("p2", now_s=0.0)
+    assert chosen(selector) is None
+    assert asked(selector, now_s=0.9) == set()
+    assert asked(selector, now_s=1.1) == {"p1", "p2"}
+
+
+def test_what_it_reaches_of_one_service_says_nothing_of_another() -> None:
+    selector = make_selector(make_instance("p1"))
+    report(selector, "p1", Reach.NONE)
+    (other,) = selector.to_ask("other", count=1, excluded=(), now_s=0.0)
+    assert other.name == "p1"
+
+
+def test_an_instance_that_reaches_no_more_than_this_one_is_of_no_use() -> None:
+    selector = make_selector(make_instance("p1"))
+    report(selector, "p1", Reach.PARTIAL)
+    assert chosen(selector, min_reach=Reach.FULL) is None
+    assert chosen(selector, min_reach=Reach.PARTIAL) == "p1"
+
+
+def test_the_least_loaded_instance_for_its_size_is_chosen() -> None:
+    small, large = make_instance("p1"), make_instance("p2", capacity=4.0)
+    selector = make_selector(small, large)
+    report(selector, "p1", in_flight=2)
+    report(selector, "p2", in_flight=5)
+    assert chosen(selector) == "p2"
+    assert chosen(selector, excluded=("p2",)) == "p1"
+
+
+def test_requests_sent_since_the_reports_count_as_load() -> None:
+    selector = make_selector(*(make_instance(f"p{i}") for i in range(4)))
+    for i in range(4):
+        report(selector, f"p{i}")
+    counts: Counter[str | None] = Counter()
+    for _ in range(40):
+        name = chosen(selector)
+        assert name is not None
+        selector.on_start(name)
+        counts[name] += 1
+    assert set(counts.values()) == {10}
+    selector.on_end("p2")
+    assert chosen(selector) == "p2"
+
+
+def test_a_restarted_instance_is_asked_anew() -> None:
+    selector = make_selector(make_instance("p1"))
+    report(selector, "p1", Reach.NONE)
+    selector.update([make_instance("p1", incarnation="2")])
+    assert asked(selector) == {"p1"}
+
+
+def test_instances_without_an_address_for_others_are_not_asked() -> None:
+    selector = make_selector(make_instance("p1", peer_address=None))
+    assert asked(selector) == set()
--- a/tests/routed/test_reachability.py
+++ b/tests/routed/test_reachability.py
@@ -6,56 +6,79 @@
 from structlog.testing import capture_logs
 
 from borageramp_core import AttemptResult
-from borageramp_core.routing import ServiceReachability
+from borageramp_core.routing import Reach, ServiceReachability
 from tests.lib.routed import make_pools, make_registration
 
 
+def make_reachability(upstreams: int = 8) -> ServiceReachability:
+    reachability = ServiceReachability()
+    reachability.upstream_count = upstreams
+    return reachability
+
+
 def fail(
-    reachability: ServiceReachability, *names: str, at_s: float = 0.0, of: int = 8
+    reachability: ServiceReachability, *names: str, at_s: float = 0.0
 ) -> list[bool]:
-    return [
-        reachability.on_failure(name, upstream_count=of, now_s=at_s) for name in names
-    ]
+    return [reachability.on_failure(name, now_s=at_s) for name in names]
 
 
 def test_failures_of_several_upstreams_in_a_row_make_a_service_unreachable() -> None:
-    reachability = ServiceReachability()
+    reachability = make_reachability()
     assert fail(reachability, "u1", "u2", "u2") == [False, False, False]
-    assert not reachability.is_unreachable(now_s=0.0)
+    assert reachability.reach(now_s=0.0) is Reach.FULL
     assert fail(reachability, "u3", "u4") == [True, False]
-    assert reachability.is_unreachable(now_s=1.0)
+    assert reachability.reach(now_s=1.0) is Reach.NONE
     assert reachability.unreachable_s(now_s=1.0) == 1.0
 
 
 def test_an_answer_in_between_shows_that_the_path_is_there() -> None:
-    reachability = ServiceReachability()
+    reachability = make_reachability()
     fail(reachability, "u1", "u2")
-    assert not reachability.on_answer(now_s=0.1)
-    assert fail(reachability, "u3", "u4") == [False, False]
-    assert fail(reachability, "u5") == [True]
-    assert reachability.on_answer(now_s=0.3)
-    assert not reachability.is_unreachable(now_s=0.3)
+    assert not reachability.on_answer("u0", now_s=0.1)
+    assert fail(reachability, "u1", "u2") == [False, False]
+    assert fail(reachability, "u3") == [True]
+    assert reachability.on_answer("u0", now_s=0.3)
+    assert reachability.reach(now_s=0.3) is Reach.FULL
     assert reachability.answer_age_s(now_s=0.5) == pytest.approx(0.2)
 
 
+def test_a_service_of_which_half_fails_is_partly_reachable() -> None:
+    reachability = make_reachability()
+    fail(reachability, "u1", "u2", "u3", "u4")
+    reachability.on_answer("u0", now_s=0.1)
+    assert reachability.reach(now_s=0.1) is Reach.PARTIAL
+    assert reachability.is_avoided("u1", now_s=0.1)
+    assert not reachability.is_avoided("u0", now_s=0.1)
+    reachability.on_answer("u1", now_s=0.2)
+    assert reachability.reach(now_s=0.2) is Reach.FULL
+    assert not reachability.is_avoided("u2", now_s=0.2)
+
+
+def test_an_upstream_that_is_gone_no_longer_counts_as_failed() -> None:
+    reachability = make_reachability()
+    fail(reachability, "u1", "u2", "u3")
+    reachability.forget("u2")
+    assert reachability.reach(now_s=0.0) is Reach.FULL
+    assert reachability.failed(now_s=0.0) == ["u1", "u3"]
+
+
 def test_failures_that_lie_far_apart_say_nothing() -> None:
-    reachability = ServiceReachability()
+    reachability = make_reachability()
     for i in range(6):
         assert fail(reachability, f"u{i}", at_s=2.0 * i) == [False]
 
 
 def test_an_interruption_without_further_failures_is_forgotten() -> None:
-    reachability = ServiceReachability()
+    reachability = make_reachability()
     fail(reachability, "u1", "u2", "u3")
-    assert not reachability.is_unreachable(now_s=4.0)
+    assert reachability.reach(now_s=4.0) is Reach.FULL
     assert reachability.unreachable_s(now_s=4.0) == 0.0
 
 
 @pytest.mark.parametrize("count", [1, 2])
 def test_a_small_service_is_unreachable_once_all_of_it_failed(count: int) -> None:
-    reachability = ServiceReachability()
-    names = [f"u{i}" for i in range(count)]
-    assert fail(reachability, *names, of=count)[-1]
+    reachability = make_reachability(count)
+    assert fail(reachability, *(f"u{i}" for i in range(count)))[-1]
 
 
 def test_interruptions_are_logged_once_with_their_length() -> None:
