Keep connections that were used while a probe of their upstream failed

Cause: a probe that fails closes all idle connections to its upstream, as these may be dead too. Where open connections live on and only new ones are refused, the probe finds no idle connection, fails to open one, and closes those that became idle meanwhile, which have just carried an answer. Instances lose the last way to an upstream like that.

Change: HttpClient.forget can leave those that were used since a time, and the prober gives the time at which its probe began.

--- a/packages/entry/src/borageramp_entry/_internal/routed/prober.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/prober.py
@@ -105,8 +105,11 @@
             )
         except TryFailedError as error:
             self.failed += 1
-            # Other pooled connections to it may be dead too.
-            self.closed_connections += self._client.forget(view.upstream)
+            # Other pooled connections to it may be dead too, but for those that were
+            # used meanwhile.
+            self.closed_connections += self._client.forget(
+                view.upstream, idle_before_s=sent_at_s
+            )
             view.mark_unresponsive(now_s=self._clock())
             self._pools.on_unreached(view, error.result)
             return view
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -61,6 +61,7 @@
         self._max_idle = max_idle
         self._idle: defaultdict[Place, list[HttpConnection]] = defaultdict(list)
         self._timers: dict[HttpConnection, asyncio.TimerHandle] = {}
+        self._idle_since_s: dict[HttpConnection, float] = {}
         self.opened = 0
 
     async def request(
@@ -126,7 +127,7 @@
         idle = self._idle.get(place)
         while idle:
             connection = idle.pop()
-            self._timers.pop(connection).cancel()
+            self._release(connection)
             if not connection.closed:
                 return connection
         return None
@@ -158,24 +159,44 @@
         if len(idle) >= self._max_idle:
             self._drop(place, idle[0])
         idle.append(connection)
+        loop = asyncio.get_running_loop()
+        self._idle_since_s[connection] = loop.time()
         idle_s = self._idle_s
         if connection.keep_alive_s is not None:
             idle_s = min(self._max_idle_s, KEEP_ALIVE_SHARE * connection.keep_alive_s)
-        self._timers[connection] = asyncio.get_running_loop().call_later(
+        self._timers[connection] = loop.call_later(
             idle_s, self._drop, place, connection
         )
 
     def _drop(self, place: Place, connection: HttpConnection) -> None:
         self._idle[place].remove(connection)
-        self._timers.pop(connection).cancel()
+        self._release(connection)
         connection.abort()
 
-    def forget(self, place: Place) -> int:
-        """Close the idle connections to a server; return how many there were."""
-        connections = list(self._idle.get(place, ()))
+    def _release(self, connection: HttpConnection) -> None:
+        self._timers.pop(connection).cancel()
+        del self._idle_since_s[connection]
+
+    def forget(self, place: Place, *, idle_before_s: float = float("inf")) -> int:
+        """Close idle connections to a server; return how many.
+
+        Parameters
+        ----------
+        place : tuple of str and int
+            IP number and port.
+        idle_before_s : float, optional
+            Connections that carried an answer after this time are kept; by default,
+            all are closed.
+        """
+        connections = [
+            connection
+            for connection in self._idle.get(place, ())
+            if self._idle_since_s[connection] < idle_before_s
+        ]
         for connection in connections:
             self._drop(place, connection)
-        self._idle.pop(place, None)
+        if not self._idle.get(place):
+            self._idle.pop(place, None)
         return len(connections)
 
     def close(self) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/upstreams.py
@@ -264,9 +264,10 @@
         healthy = response.status == STATUS_OK
         return HealthAnswer(healthy=healthy, report=read.report, notice=read.notice)
 
-    def forget(self, upstream: Upstream) -> int:
-        """Close the idle connections to an upstream; return how many there were."""
-        return self._http.forget((upstream.host, upstream.port))
+    def forget(self, upstream: Upstream, *, idle_before_s: float = float("inf")) -> int:
+        """Close idle connections to an upstream; see :meth:`HttpClient.forget`."""
+        place = (upstream.host, upstream.port)
+        return self._http.forget(place, idle_before_s=idle_before_s)
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/tests/lib/dispatching.py
+++ b/tests/lib/dispatching.py
@@ -79,7 +79,7 @@
     async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
         return HealthAnswer(healthy=True, report=make_report())
 
-    def forget(self, upstream: Any) -> int:
+    def forget(self, upstream: Any, **_: Any) -> int:
         """Do nothing: this client keeps no state per upstream."""
         return 0
 
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -93,7 +93,7 @@
             raise TryFailedError(AttemptResult.UNREACHABLE)
         return HealthAnswer(healthy=True, report=make_report())
 
-    def forget(self, upstream: Any) -> int:
+    def forget(self, upstream: Any, **_: Any) -> int:
         """Do nothing: there are no connections."""
         return 0
 
--- a/tests/routed/test_http_client.py
+++ b/tests/routed/test_http_client.py
@@ -183,3 +183,19 @@
         assert b"content-length: 4\r\n" in head
 
     with_server(server, test)
+
+
+def test_connections_that_were_used_meanwhile_are_not_forgotten() -> None:
+    server = Server(*[OK] * 4)
+
+    async def test(client: HttpClient, port: int) -> None:
+        await asyncio.gather(fetch(client, port), fetch(client, port))
+        failed_at_s = asyncio.get_running_loop().time()
+        await fetch(client, port)
+        place = ("127.0.0.1", port)
+        assert client.forget(place, idle_before_s=failed_at_s) == 1
+        await fetch(client, port)
+        assert client.opened == 2
+        assert client.forget(place) == 1
+
+    with_server(server, test)
