Suspect no request of a crash while no upstream can be reached

When its connections are reset, it asks the upstream of a broken attempt, finds that nobody listens, and publishes the request as one that crashes upstreams. After three of these, all instances refuse it.

Change: an upstream counts as crashed only if another one answers at that moment; three are asked, those that answered last first. With no other upstream in the fleet, it counts as before.

Measured: the new test fails without the check (the suspect is published) and passes with it.

--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -109,12 +109,6 @@
             dialect=self._platform.upstreams,
             idle_s=UPSTREAM_IDLE_TIMEOUT_S,
         )
-        self._crashes = CrashDetector(
-            instance=self._own_instance.name,
-            suspects=make_suspects(),
-            store=self._store,
-            client=self._client,
-        )
         cold = RateAllowance(
             member=self._own_instance.name,
             bounds=RateBounds(overage=bounds.cold_overage, slack=bounds.cold_slack),
@@ -128,6 +122,13 @@
             rng=self._rng,
             clock=self._clock,
         )
+        self._crashes = CrashDetector(
+            instance=self._own_instance.name,
+            suspects=make_suspects(),
+            store=self._store,
+            client=self._client,
+            other_upstreams=self._pools.answered_last,
+        )
         self._prober = Prober(
             client=self._client,
             pools=self._pools,
--- a/packages/entry/src/borageramp_entry/_internal/routed/crashes.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/crashes.py
@@ -1,12 +1,14 @@
 """Detection of requests that crash upstreams.
 
 A broken connection doesn't prove that the upstream crashed. So the upstream is
-probed, and only if nothing listens at its address any more does the request that
-it was running become a suspect. A suspect whose caller got no answer is published
-to the other instances through the store; after enough crashes it is quarantined.
+probed, and only if nothing listens at its address any more, while another upstream
+answers, does the request that it was running become a suspect. A suspect whose caller
+got no answer is published to the other instances through the store; after enough
+crashes it is quarantined.
 """
 
 import asyncio
+from collections.abc import Callable, Sequence
 
 from borageramp_core import AttemptResult, StoreError, Suspects
 from borageramp_core.routing import CrashSuspect, UpstreamView
@@ -47,6 +49,9 @@
         Store through which suspects are published.
     client : UpstreamClient
         Connections to upstreams.
+    other_upstreams : callable
+        Returns other upstreams than a given one, which show whether this instance
+        reaches any.
     """
 
     def __init__(
@@ -56,11 +61,13 @@
         suspects: Suspects,
         store: Store,
         client: UpstreamClient,
+        other_upstreams: Callable[[UpstreamView], Sequence[UpstreamView]],
     ) -> None:
         self._instance = instance
         self._suspects = suspects
         self._store = store
         self._client = client
+        self._other_upstreams = other_upstreams
         self._tasks: set[asyncio.Task[None]] = set()
         self._merged: set[CrashSuspect] = set()
 
@@ -102,6 +109,16 @@
         await self._publish(fingerprint)
 
     async def _has_crashed(self, view: UpstreamView) -> bool:
+        if await self._check(view) is not AttemptResult.UNREACHABLE:
+            return False
+        others = self._other_upstreams(view)
+        if not others:
+            return True
+        # If none of them answers, it is the network of this instance that fails.
+        results = await asyncio.gather(*(self._check(other) for other in others))
+        return AttemptResult.ANSWERED in results
+
+    async def _check(self, view: UpstreamView) -> AttemptResult:
         try:
             await self._client.ask_health(
                 view.upstream,
@@ -110,8 +127,8 @@
                 connect_timeout_s=CONFIRM_TIMEOUT_S,
             )
         except TryFailedError as error:
-            return error.result is AttemptResult.UNREACHABLE
-        return False
+            return error.result
+        return AttemptResult.ANSWERED
 
     async def _publish(self, fingerprint: str) -> None:
         suspect_state = dict(self._suspects.recent(now_s=_now_s())).get(fingerprint)
--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -29,6 +29,8 @@
 # that differ between entries, and for requests counted in another window.
 RETRY_RATIO_SHARE = 0.8
 RETRY_SLACK_SHARE = 0.5
+# Upstreams that are asked to tell a crash from a loss of network.
+MAX_WITNESSES = 3
 
 
 class PoolRegistry:
@@ -142,6 +144,17 @@
         pool = self._pools.get(service)
         return pool is not None and bool(pool.views)
 
+    def answered_last(self, view: UpstreamView) -> list[UpstreamView]:
+        """Return a few upstreams besides one, those that answered last first."""
+        others = [
+            other
+            for pool in self._pools.values()
+            for other in pool.views.values()
+            if other is not view
+        ]
+        others.sort(key=lambda v: v.pace_reported_at_s, reverse=True)
+        return others[:MAX_WITNESSES]
+
     def retry_budget(self, service: str) -> RatioBudget:
         """Return this entry's retry budget for a service."""
         budget = self._retry_budgets.get(service)
--- a/tests/lib/dispatching.py
+++ b/tests/lib/dispatching.py
@@ -138,7 +138,11 @@
         prober=make_prober(client, pools, clock=clock),
         client=client,
         crash_detector=CrashDetector(
-            instance="e0", suspects=make_suspects(), store=store, client=client
+            instance="e0",
+            suspects=make_suspects(),
+            store=store,
+            client=client,
+            other_upstreams=pools.answered_last,
         ),
         rng=rng,
         clock=clock,
--- a/tests/routed/test_crashes.py
+++ b/tests/routed/test_crashes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from borageramp_core import AttemptResult
+from borageramp_core import AttemptResult, Upstream
 from borageramp_core.routing import CrashSuspect, UpstreamView
 from borageramp_entry._internal.routed.crashes import CrashDetector, make_suspects
 from borageramp_entry._internal.routed.records import decode_record
@@ -15,13 +15,17 @@
 
 
 class _StubClient:
-    """Health checks that fail with a result, or succeed if it is None."""
+    """Health checks that fail with a result, or succeed if it is None.
 
-    def __init__(self, result: AttemptResult | None) -> None:
+    Those of the upstreams in ``answering`` succeed.
+    """
+
+    def __init__(self, result: AttemptResult | None, answering: list[str]) -> None:
         self._result = result
+        self._answering = answering
 
-    async def ask_health(self, *_: Any, **__: Any) -> None:
-        if self._result is not None:
+    async def ask_health(self, upstream: Upstream, *_: Any, **__: Any) -> None:
+        if self._result is not None and upstream.name not in self._answering:
             raise TryFailedError(self._result)
 
 
@@ -42,12 +46,21 @@
 
 
 def make_detector(
-    result: AttemptResult | None, store: _RecordingStore, *, name: str = "e1"
+    result: AttemptResult | None,
+    store: _RecordingStore,
+    *,
+    name: str = "e1",
+    others: tuple[str, ...] = ("other1", "other2"),
+    answering: tuple[str, ...] = ("other2",),
 ) -> CrashDetector:
-    client: Any = _StubClient(result)
+    client: Any = _StubClient(result, list(answering))
     any_store: Any = store
     return CrashDetector(
-        instance=name, suspects=make_suspects(), store=any_store, client=client
+        instance=name,
+        suspects=make_suspects(),
+        store=any_store,
+        client=client,
+        other_upstreams=lambda view: [make_view(n) for n in others],
     )
 
 
@@ -84,6 +97,29 @@
     asyncio.run(run())
 
 
+# Guards against requests that are refused everywhere as an instance that lost its
+# network took upstreams for crashed.
+def test_an_instance_that_reaches_no_upstream_suspects_no_request() -> None:
+    async def run() -> None:
+        store = _RecordingStore()
+        detector = make_detector(AttemptResult.UNREACHABLE, store, answering=())
+        await report_unanswered(detector, "u1", "u2", "u3")
+        assert not detector.is_quarantined("r")
+        assert store.written == []
+
+    asyncio.run(run())
+
+
+def test_a_crash_of_the_only_upstream_counts() -> None:
+    async def run() -> None:
+        store = _RecordingStore()
+        detector = make_detector(AttemptResult.UNREACHABLE, store, others=())
+        await report_unanswered(detector, "u1")
+        assert len(store.written) == 1
+
+    asyncio.run(run())
+
+
 def test_crashes_seen_by_several_instances_add_up() -> None:
     async def run() -> None:
         store = _RecordingStore()
