Let an odd item of the store cost that item alone

Operators of other systems report that one odd entry among those of the upstreams, deeply nested, with a number too large or a port out of range, ended the processes that read the list, or stopped them following it. Could happen here.

Cause: decoding passes three kinds of errors on that nobody catches, so that the task which follows the store ends, and the process with it, again after each start: RecursionError for nested text, in a known or an unknown field; ValueError; and, once such an upstream is used, OverflowError for a port over 65535 or slots of 400 digits. Hosts like 999.1.1.1 meant a look-up of a name.

What decoding raises becomes a MalformedItem, also for changes of a relay and answers of the store. A connection that can't be made for such a reason is NotConnectedError. An unreadable item is logged once for each change of it, not again with a full read.

--- a/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
@@ -161,7 +161,12 @@
             Item(key=i.key, value=i.value.encode("latin-1"), revision=i.revision)
             for i in message.written
         )
-    except (msgspec.DecodeError, UnicodeEncodeError, zlib.error) as error:
+    except (
+        msgspec.DecodeError,
+        RecursionError,
+        UnicodeEncodeError,
+        zlib.error,
+    ) as error:
         raise MalformedChangeError(f"invalid changes: {error!r:.200}") from error
     return Change(written=written, deleted=message.deleted, revision=message.revision)
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -90,6 +90,7 @@
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._store_recovered = asyncio.Event()
         self._watch_task: asyncio.Task[None] | None = None
+        self._malformed_revisions: dict[str, int] = {}
 
     def age_s(self) -> float:
         """Return the time in seconds since the last contact with the store."""
@@ -251,6 +252,7 @@
         ):
             self._schedule_drop_missing()
             return False
+        self._malformed_revisions.pop(key, None)
         removed = self.fleet_state.remove(key)
         if removed:
             _log.info("item removed", key=key, revision=self.fleet_state.revision)
@@ -258,7 +260,12 @@
 
     def _parse_item(self, item: Item) -> StateItem | None:
         state_item = self._read_item(item)
-        if isinstance(state_item, MalformedItem):
+        if not isinstance(state_item, MalformedItem):
+            self._malformed_revisions.pop(item.key, None)
+            return state_item
+        # A full read repeats items that have been reported.
+        if self._malformed_revisions.get(item.key) != item.revision:
+            self._malformed_revisions[item.key] = item.revision
             _log.warning(
                 "item unreadable",
                 key=item.key,
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from borageramp_core.routing import CrashSuspect, Instance, MalformedItem, StateItem
+from borageramp_entry._internal.addresses import split_remote_address
 from borageramp_entry._internal.store.base import Item
 from borageramp_settings import StrictStruct
 
@@ -72,10 +73,19 @@
     try:
         if item.key.startswith(INSTANCES_PREFIX):
             record = msgspec.json.decode(item.value, type=_InstanceRecord)
+            _check_addresses(record)
             return Instance(**msgspec.structs.asdict(record))
         if item.key.startswith(SUSPECTS_PREFIX):
             suspect = msgspec.json.decode(item.value, type=_SuspectRecord)
             return CrashSuspect(**msgspec.structs.asdict(suspect))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return MalformedItem(problem=str(error))
     return None
+
+
+def _check_addresses(record: _InstanceRecord) -> None:
+    """Raise ``ValueError`` if an address can't be connected to."""
+    addresses = (record.caller_address, record.check_address, record.peer_address)
+    for address in addresses:
+        if address is not None:
+            split_remote_address(address)
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_client.py
@@ -150,7 +150,8 @@
                     lambda: HttpConnection(on_idle=on_idle, watched=self._watched),
                     *place,
                 )
-        except (OSError, TimeoutError) as error:
+        # A port out of range is an OverflowError, a host that is no name a ValueError.
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
             raise NotConnectedError(f"{place[0]}:{place[1]}: {error!r}") from error
         return connection
 
--- a/packages/entry/src/borageramp_entry/routed.py
+++ b/packages/entry/src/borageramp_entry/routed.py
@@ -1,5 +1,6 @@
 """Interfaces and types for platform adapters."""
 
+from borageramp_entry._internal.addresses import split_ip_address
 from borageramp_entry._internal.routed.interfaces import (
     CallerDialect,
     DirectoryDialect,
@@ -58,4 +59,5 @@
     "Store",
     "UpstreamDialect",
     "pass_headers",
+    "split_ip_address",
 ]
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -200,8 +200,12 @@
 
     async def stop(self) -> list[str]:
         """Stop the process; return the events of its log."""
+        return [line["event"] for line in await self.stop_with_log()]
+
+    async def stop_with_log(self) -> list[dict[str, Any]]:
+        """Stop the process; return the lines of its log."""
         self.client.close()
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGTERM)
         out, _ = await self.process.communicate()
-        return [json.loads(line)["event"] for line in out.decode().splitlines()]
+        return [json.loads(line) for line in out.decode().splitlines()]
