Leave failed upstreams out while others of a partly reachable service answer

Cause: while half of a service can't be reached and those that answer are ejected, the candidates for a placement were none, where ejected ones would have served; and each of them asked anew for the state of the service, which is quadratic in its upstreams. Three upstreams rechecked in 0.2 s are too few for a hundred: their failures are forgotten before their turn comes.

Change: ServiceReachability.avoided says once for a placement which upstreams to leave alone; ejected ones are the last resort as before. A tenth of the failed upstreams is rechecked at a time.

--- a/packages/core/src/borageramp_core/_internal/routing/pool.py
+++ b/packages/core/src/borageramp_core/_internal/routing/pool.py
@@ -16,7 +16,7 @@
     PlacementRequirements,
 )
 from borageramp_core._internal.routing.rate_allowance import RateAllowance
-from borageramp_core._internal.routing.reachability import Reach, ServiceReachability
+from borageramp_core._internal.routing.reachability import ServiceReachability
 from borageramp_core._internal.routing.response_time import response_time_estimator
 from borageramp_core._internal.routing.shortlist import Shortlist
 from borageramp_core._internal.routing.slowdown import SlowdownProfile
@@ -171,31 +171,27 @@
     def _is_healthy(self, view: UpstreamView, *, now_s: float) -> bool:
         if now_s < view.unresponsive_until_s:
             return False
-        if self.reachability.is_avoided(view.registration.id, now_s=now_s):
-            return False
         return not self.outliers.is_ejected(view.upstream.id, now_s=now_s)
 
     def candidates(
         self, requirements: PlacementRequirements, *, now_s: float
     ) -> list[UpstreamView]:
-        """Return the preferred upstreams; unhealthy ones only if there is no other.
-
-        Where the network is the cause, others would fail as well.
-        """
+        """Return the preferred upstreams; unhealthy ones only if there is no other."""
         width = self.shortlist.width(now_s=now_s)
+        avoided = self.reachability.avoided(now_s=now_s)
         usable: list[UpstreamView] = []
         healthy: list[UpstreamView] = []
         for view in self.shortlist.order:
-            if not self._eligibility.is_usable(view, requirements, now_s=now_s):
+            if view.registration.id in avoided or not self._eligibility.is_usable(
+                view, requirements, now_s=now_s
+            ):
                 continue
             usable.append(view)
             if self._is_healthy(view, now_s=now_s):
                 healthy.append(view)
                 if len(healthy) >= width:
                     break
-        if healthy or self.reachability.reach(now_s=now_s) is not Reach.FULL:
-            return healthy
-        return usable
+        return healthy or usable
 
     def probe_targets(
         self, requirements: PlacementRequirements, *, count: int, now_s: float
--- a/packages/core/src/borageramp_core/_internal/routing/reachability.py
+++ b/packages/core/src/borageramp_core/_internal/routing/reachability.py
@@ -118,15 +118,14 @@
             return Reach.PARTIAL
         return Reach.FULL
 
-    def is_avoided(self, upstream_id: str, *, now_s: float) -> bool:
-        """Return whether an upstream that failed is better left alone.
+    def avoided(self, *, now_s: float) -> frozenset[str]:
+        """Return the upstreams that failed and are better left alone.
 
         While most upstreams answer, one that failed gets the next chance soon.
         """
-        failed_at_s = self._failed_at_s.get(upstream_id)
-        if failed_at_s is None or now_s - failed_at_s > FAILURE_RETENTION_S:
-            return False
-        return self.reach(now_s=now_s) is not Reach.FULL
+        if self.reach(now_s=now_s) is Reach.FULL:
+            return frozenset()
+        return frozenset(self.failed(now_s=now_s))
 
     def unreachable_s(self, *, now_s: float) -> float:
         """Return the time in seconds since the first failure of an interruption.
--- a/packages/entry/src/borageramp_entry/_internal/routed/reachability_monitor.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/reachability_monitor.py
@@ -12,9 +12,10 @@
 _log = get_logger(__name__)
 
 # Interval in which some of the upstreams that failed are probed, those that failed
-# first before others, and how many of them.
+# first before others, and how many of them: all within two seconds.
 RECHECK_INTERVAL_S = 0.2
-RECHECK_COUNT = 3
+MIN_RECHECK_COUNT = 3
+RECHECK_SHARE = 0.1
 
 
 class ReachabilityMonitor:
@@ -53,7 +54,8 @@
     def _probe_failed(self, pool: ServicePool, *, now_s: float) -> None:
         failed = pool.reachability.failed(now_s=now_s)
         views = [pool.views[name] for name in failed if name in pool.views]
-        self._prober.start(views[:RECHECK_COUNT])
+        count = max(MIN_RECHECK_COUNT, round(RECHECK_SHARE * len(views)))
+        self._prober.start(views[:count])
 
     def close(self) -> None:
         """End all probing."""
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -42,9 +42,12 @@
         Whether it reads the bodies of requests.
     work_s : float
         Time until it answers a request.
+    begun, served : int
+        Requests that it has begun to work on, and those that it has answered.
     """
 
     def __init__(self) -> None:
+        self.begun = 0
         self.served = 0
         self.address = ""
         self.endless = False
@@ -64,6 +67,7 @@
                 if "/healthz" not in head and self.endless:
                     await send_endless_answer(writer, echo)
                 if "/healthz" not in head:
+                    self.begun += 1
                     await asyncio.sleep(self.work_s)
                     self.served += 1
                     body = b"done"
--- a/tests/routed/test_cut_off_instance.py
+++ b/tests/routed/test_cut_off_instance.py
@@ -1,6 +1,7 @@
 """Two entry processes, one of which loses its links to all upstreams."""
 
 import asyncio
+import signal
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
@@ -19,6 +20,10 @@
 # Time after the cut from which callers must be served again.
 CONTACT_S = 3.0
 REQUESTS = 30
+# Work of a request during which an instance stops or is killed.
+HELD_WORK_S = 1.0
+# Time until an instance notices that its links are back.
+RESTORE_S = 1.0
 INTERVAL_S = 0.1
 # How often callers of the instance that is cut off must be served, compared to
 # those of the other. Besides, so many failures are allowed, and this share of all.
@@ -149,3 +154,65 @@
     max_failed = MAX_FAILED + MAX_FAILED_SHARE * 2 * REQUESTS
     assert at_cut_off >= MIN_SERVED_SHARE * at_other or failed <= max_failed
     assert at_other == REQUESTS
+
+
+async def send_while_held(fleet: Fleet, path: str) -> "asyncio.Task[tuple[int, bytes]]":
+    """Send a request to the instance that is cut off; wait until it runs."""
+    await fleet.cut(Cut.RESET)
+    # The first requests find out that the links are gone.
+    await send_requests(fleet.cut_off, 4)
+    for upstream in fleet.upstreams:
+        upstream.work_s = HELD_WORK_S
+    begun = sum(u.begun for u in fleet.upstreams)
+    task = asyncio.ensure_future(fleet.cut_off.get(fleet.cut_off.front, path))
+    while sum(u.begun for u in fleet.upstreams) == begun:
+        await asyncio.sleep(0.01)
+    return task
+
+
+def test_an_instance_that_stops_finishes_what_others_forwarded(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with running_fleet(tmp_path) as fleet:
+            held = await send_while_held(fleet, "/unsafe/x")
+            fleet.other.process.send_signal(signal.SIGTERM)
+            # Longer than what it has said of itself before counts.
+            await asyncio.sleep(0.4)
+            started_s = asyncio.get_running_loop().time()
+            status, body = await fleet.cut_off.get(fleet.cut_off.front, "/unsafe/y")
+            assert asyncio.get_running_loop().time() - started_s < HELD_WORK_S / 2
+            assert status == 503 and b"upstreams_unreachable" in body
+            assert await held == (200, b"done")
+
+    asyncio.run(run())
+
+
+# Guards against a refusal that says "not run" of work that a killed instance had sent.
+@pytest.mark.parametrize("path", ["/unsafe/x", "/r/x"])
+def test_work_of_a_killed_instance_is_not_said_to_be_not_run(
+    path: str, tmp_path: Path
+) -> None:
+    async def run() -> None:
+        async with running_fleet(tmp_path) as fleet:
+            held = await send_while_held(fleet, path)
+            begun = sum(u.begun for u in fleet.upstreams)
+            fleet.other.process.kill()
+            status, _ = await held
+            assert status == 502
+            assert sum(u.begun for u in fleet.upstreams) == begun
+
+    asyncio.run(run())
+
+
+def test_an_instance_whose_links_are_back_serves_by_itself(tmp_path: Path) -> None:
+    async def run() -> list[str]:
+        async with running_fleet(tmp_path) as fleet:
+            await fleet.cut(Cut.RESET)
+            assert await send_requests(fleet.cut_off, 10) >= 9
+            await fleet.restore()
+            await asyncio.sleep(RESTORE_S)
+            fleet.other.process.kill()
+            assert await send_requests(fleet.cut_off, 10) == 10
+            return await fleet.cut_off.stop()
+
+    events = asyncio.run(run())
+    assert {"service unreachable", "forwarded", "service reachable"} <= set(events)
--- a/tests/routed/test_reachability.py
+++ b/tests/routed/test_reachability.py
@@ -47,11 +47,10 @@
     fail(reachability, "u1", "u2", "u3", "u4")
     reachability.on_answer("u0", now_s=0.1)
     assert reachability.reach(now_s=0.1) is Reach.PARTIAL
-    assert reachability.is_avoided("u1", now_s=0.1)
-    assert not reachability.is_avoided("u0", now_s=0.1)
+    assert reachability.avoided(now_s=0.1) == {"u1", "u2", "u3", "u4"}
     reachability.on_answer("u1", now_s=0.2)
     assert reachability.reach(now_s=0.2) is Reach.FULL
-    assert not reachability.is_avoided("u2", now_s=0.2)
+    assert reachability.avoided(now_s=0.2) == frozenset()
 
 
 def test_an_upstream_that_is_gone_no_longer_counts_as_failed() -> None:
