Answer requests that outlast a planned stop before it ends

Callers of an instance that stops saw their connections close without an answer, if their requests had begun before the stop and took longer than its time to drain.

Cause: what is left of a stop limits the deadlines of requests that arrive during it, but not of those under way.

What an upstream has, or may have, is answered 504, what is still queued 503 with `leaving`, which is true: it has not run.

Measured: the new test fails without the change ("no answer") and passes with it: of five requests, four running and one queued, each gets its answer, and as many are answered 504 as an upstream had begun.

--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -337,6 +337,8 @@
         started_at_s = self._clock()
         self._stops_at_s = started_at_s + self._settings.drain_s
         _log.info("stopping", in_flight=self._requests_in_flight)
+        self._handler.on_stop()
+        self._forwarded_handler.on_stop()
         self._registration_task.cancel()
         withdraw_task = asyncio.ensure_future(self._sync.registration.unregister())
         # Callers cache addresses from the directory, so keep accepting connections
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -80,6 +80,27 @@
         self._rng = rng
         self.clock = clock
         self.in_flight = 0
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def on_stop(self) -> None:
+        """Answer the requests under way before this instance ends them to shut down."""
+        for timeout in self._timeouts:
+            timeout.reschedule(self._stops_at_s() - STOP_ANSWER_TIME_S)
+
+    async def dispatch(self, request: RoutedRequest) -> RoutedAnswer:
+        """Dispatch a request, for no longer than this instance runs.
+
+        Raises
+        ------
+        RefusedError
+            If the request got no answer of an upstream.
+        """
+        timeout = asyncio.timeout(None)
+        self._timeouts.add(timeout)
+        try:
+            return await self.dispatcher.run(request, timeout=timeout)
+        finally:
+            self._timeouts.discard(timeout)
 
     @property
     def is_stopping(self) -> bool:
@@ -251,7 +272,7 @@
             self._routed = self._handler.build_routed_request(
                 self._request, arrived_at_s=self._arrived_at_s
             )
-            answer = await self._handler.dispatcher.run(self._routed)
+            answer = await self._handler.dispatch(self._routed)
         except RefusedError as error:
             self._refuse(error)
             return error.reason.value
--- a/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of routed requests to upstreams."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -75,13 +76,23 @@
             self._placers[service] = placer
         return placer
 
-    async def run(self, request: RoutedRequest) -> RoutedAnswer:
+    async def run(
+        self, request: RoutedRequest, *, timeout: asyncio.Timeout | None = None
+    ) -> RoutedAnswer:
         """Dispatch a request and return its answer.
 
+        Parameters
+        ----------
+        request : RoutedRequest
+            The request.
+        timeout : asyncio.Timeout, optional
+            Time at which the request is given up, which may be set while it runs; by
+            default only its deadline counts.
+
         Raises
         ------
         RefusedError
-            If the request is quarantined, or no upstream answered it.
+            If the request is quarantined, given up, or no upstream answered it.
         """
         request_fingerprint = _request_fingerprint(request.caller)
         if self.crash_detector.is_quarantined(request_fingerprint):
@@ -101,7 +112,10 @@
             forwarder=self._forwarder,
         )
         try:
-            answer = await execution.execute()
+            async with timeout or asyncio.timeout(None):
+                answer = await execution.execute()
+        except TimeoutError:
+            raise execution.given_up_error() from None
         except RefusedError:
             if execution.disconnected_views:
                 self.crash_detector.on_unanswered(
--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -369,6 +369,12 @@
             ),
         )
 
+    def given_up_error(self) -> RefusedError:
+        """Return the refusal of a request that ends before its deadline."""
+        if self._in_flight or self._verdict is not Verdict.NOT_RUN:
+            return self._attempts_failed_error(Reason.DEADLINE_PASSED)
+        return self._refusals.leaving()
+
     def _not_placed_error(self) -> RefusedError:
         """Return the refusal of a request that found no upstream."""
         if self._reach is Reach.NONE:
--- a/packages/entry/src/borageramp_entry/_internal/routed/request_refusals.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/request_refusals.py
@@ -65,6 +65,12 @@
             wait_s=max(self._work_estimate.mean_s, min_wait_s),
         )
 
+    def leaving(self) -> RefusedError:
+        """Return the refusal of a request that this instance can't end any more."""
+        return self._refusal(
+            Reason.LEAVING, detail="this instance is shutting down", wait_s=0.0
+        )
+
     def shed(self, upstream_count: int) -> RefusedError:
         """Return the refusal of a request that was shed by upstreams with capacity.
 
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -170,6 +170,7 @@
         *,
         method: str = "GET",
         request_id: str = "r1",
+        deadline_ms: int = 3000,
         body: bytes = b"",
     ) -> HttpResponse:
         return await self.client.request(
@@ -179,7 +180,7 @@
             headers=(
                 ("host", b"a.example"),
                 ("borageramp-request-id", request_id.encode()),
-                ("borageramp-deadline-ms", b"3000"),
+                ("borageramp-deadline-ms", b"%d" % deadline_ms),
             ),
             body=body,
             connect_timeout_s=1.0,
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -93,6 +93,33 @@
     assert "stopped" in events
 
 
+# Guards against requests of before a planned stop that are cut without an answer.
+def test_requests_under_way_that_outlast_a_planned_stop_are_answered(
+    tmp_path: Path,
+) -> None:
+    async def test(instance: EntryProcess, store: FakeStore, up: StubUpstream) -> None:
+        config = config_document(2, timeout_s=20, kind="unsafe")
+        store.put("op/config", as_bytes(config))
+        await asyncio.sleep(1.5)
+        up.work_s = 30.0
+        # Four run, as many as there are slots, and one is queued.
+        requests = [
+            asyncio.ensure_future(
+                instance.get(instance.front, "/r/x", deadline_ms=20_000)
+            )
+            for _ in range(5)
+        ]
+        await asyncio.sleep(0.5)
+        instance.process.send_signal(signal.SIGTERM)
+        statuses = sorted([(await request)[0] for request in requests])
+        assert statuses in ([503, 504, 504, 504, 504], [504] * 5)
+        # What never began is said not to have run, and nothing else.
+        assert statuses.count(504) == up.begun
+
+    events = run_with_instance(tmp_path, test)
+    assert "stopped" in events
+
+
 def test_settings_are_reloaded_and_invalid_ones_rejected(tmp_path: Path) -> None:
     async def test(
         instance: EntryProcess, store: FakeStore, upstream: StubUpstream
