Ask for more than one failure of a service with one upstream

Cause: a service with one or two upstreams counted as unreachable after a single failed probe of each, which is what a busy upstream looks like for a moment; its requests were then refused at once instead of queued. And a hedge asked other instances for up to three rounds, 0.45 s if none answers, while the answer of the first attempt waited.

Change: three failures in a row make a service of any size unreachable; one round of questions for a hedge; questions under way end with the process.

Measured: the tests of both pass, as do those of forwarding and reachability.

--- a/packages/core/src/borageramp_core/_internal/routing/reachability.py
+++ b/packages/core/src/borageramp_core/_internal/routing/reachability.py
@@ -4,9 +4,10 @@
 
 __all__ = ["Reach", "ServiceReachability"]
 
-# Different upstreams that can't be reached, with no answer of any in between, until the
-# service counts as unreachable. Fewer fail together now and then.
-MIN_FAILED_UPSTREAMS = 3
+# Failures of different upstreams, with no answer of any in between, until the service
+# counts as unreachable. Fewer fail together now and then. A smaller service needs as
+# many failures of all of its upstreams.
+MIN_FAILURES = 3
 # Share of the upstreams that fail until a service counts as partly reachable.
 MIN_FAILED_SHARE = 0.5
 # Older failures say nothing about the network any more.
@@ -47,6 +48,7 @@
         self.upstream_count = 0
         self._failed_at_s: dict[str, float] = {}
         self._failed_in_a_row: set[str] = set()
+        self._failures_in_a_row = 0
         self._answered_at_s = float("-inf")
         self._unreachable_since_s = float("-inf")
 
@@ -56,6 +58,7 @@
         self._answered_at_s = now_s
         self._failed_at_s.pop(upstream_id, None)
         self._failed_in_a_row.clear()
+        self._failures_in_a_row = 0
         return was_unreachable
 
     def on_failure(self, upstream_id: str, *, now_s: float) -> bool:
@@ -77,6 +80,7 @@
         self._expire(now_s=now_s)
         self._failed_at_s[upstream_id] = now_s
         self._failed_in_a_row.add(upstream_id)
+        self._failures_in_a_row += 1
         if was_unreachable or self.reach(now_s=now_s) is not Reach.NONE:
             return False
         self._unreachable_since_s = min(
@@ -88,6 +92,8 @@
         recent = self.failed(now_s=now_s)
         self._failed_at_s = {name: self._failed_at_s[name] for name in recent}
         self._failed_in_a_row.intersection_update(recent)
+        if not self._failed_in_a_row:
+            self._failures_in_a_row = 0
 
     def forget(self, upstream_id: str) -> None:
         """Remove an upstream that is gone or has restarted."""
@@ -109,10 +115,13 @@
         if not self._failed_at_s:
             return Reach.FULL
         failed = self.failed(now_s=now_s)
-        min_failed = min(MIN_FAILED_UPSTREAMS, self.upstream_count)
+        min_failed = min(MIN_FAILURES, self.upstream_count)
         if not failed or len(failed) < min_failed:
             return Reach.FULL
-        if len(self._failed_in_a_row.intersection(failed)) >= min_failed:
+        if (
+            len(self._failed_in_a_row.intersection(failed)) >= min_failed
+            and self._failures_in_a_row >= MIN_FAILURES
+        ):
             return Reach.NONE
         if len(failed) >= MIN_FAILED_SHARE * self.upstream_count:
             return Reach.PARTIAL
--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -284,7 +284,11 @@
         # What is unreachable for every instance is not passed around.
         min_reach = Reach.PARTIAL if reach is Reach.NONE else Reach.FULL
         peer = await self._forwarder.find(
-            self._caller.service, min_reach=min_reach, excluded=self._asked_peers
+            self._caller.service,
+            min_reach=min_reach,
+            excluded=self._asked_peers,
+            # An answer of an attempt under way is not to wait for a hedge.
+            max_rounds=1 if self._in_flight else None,
         )
         if peer is None:
             return False
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -98,7 +98,12 @@
         self._selector.update(instances)
 
     async def find(
-        self, service: str, *, min_reach: Reach, excluded: Collection[str]
+        self,
+        service: str,
+        *,
+        min_reach: Reach,
+        excluded: Collection[str],
+        max_rounds: int | None = None,
     ) -> Instance | None:
         """Return an instance that has just said that it reaches a service.
 
@@ -110,6 +115,9 @@
             How much of it the instance has to reach.
         excluded : collection of str
             Names of instances to leave out.
+        max_rounds : int, optional
+            How often further instances are asked if none of those before will do; by
+            default, up to three times.
         """
 
         def choose() -> Instance | None:
@@ -118,7 +126,7 @@
             )
 
         peer = choose()
-        for count in ASK_COUNTS:
+        for count in ASK_COUNTS[:max_rounds]:
             if peer is not None:
                 break
             pending = self._start_asks(service, count=count, excluded=excluded)
@@ -239,7 +247,9 @@
             raise PeerRefusedError(refusal)
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """End all questions and close the idle connections."""
+        for task in list(self._asks.values()):
+            task.cancel()
         self._http.close()
 
 
