Refuse forwarded requests with bad terms as a fault of ours

Cause: terms that another instance can't read, such as those of a newer version, made it refuse the request as a bad one, and the caller, whose request is proper, got 400 for it if no other instance would do.

Change: the reason is `internal`, so that the caller gets 503 and may come back.

Measured: five kinds of terms in the new test; the reason was `bad_request` before.

--- a/packages/entry/src/borageramp_entry/_internal/routed/forwarded_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/forwarded_handler.py
@@ -152,8 +152,9 @@
         try:
             return decode_terms(request.headers).to_route()
         except MalformedMessageError as error:
+            # The caller's request is proper, so that it is not refused as a bad one.
             raise RefusedError(
-                verdict=Verdict.NOT_RUN, reason=Reason.BAD_REQUEST, detail=str(error)
+                verdict=Verdict.NOT_RUN, reason=Reason.INTERNAL, detail=str(error)
             ) from error
 
     def answer_headers(self, headers: Headers) -> Headers:
--- a/tests/routed/test_forwarding.py
+++ b/tests/routed/test_forwarding.py
@@ -7,11 +7,16 @@
 import pytest
 
 from borageramp_core import AttemptResult, Reason, RefusedError, Verdict
-from borageramp_entry._internal.routed.forwarding_messages import REFUSAL_HEADER
+from borageramp_entry._internal.routed.forwarding_messages import (
+    FORWARDED_HEADER,
+    REFUSAL_HEADER,
+    decode_refusal,
+)
 from borageramp_entry._internal.serving.upstreams import (
     TryFailedError,
     UpstreamAnswer,
 )
+from borageramp_entry.routed import HttpClient, split_ip_address
 from tests.lib.dispatching import make_upstream_answer
 from tests.lib.forwarding import Member, make_request, running_members
 
@@ -322,3 +327,23 @@
         assert a.client.tried == 3 and len(a.client.sent) == 1
 
     play(test, "a")
+
+
+@pytest.mark.parametrize("terms", [b"", b"{}", b"[" * 10_000, b"\xff", b'{"a":1}'])
+def test_terms_that_make_no_sense_are_no_fault_of_the_caller(terms: bytes) -> None:
+    async def test(a: Member, b: Member) -> None:
+        client = HttpClient(idle_s=1.0, max_idle=1)
+        assert b.instance.peer_address is not None
+        response = await client.request(
+            split_ip_address(b.instance.peer_address),
+            "GET",
+            "/r/x",
+            headers=(("host", b"a.example"), (FORWARDED_HEADER, terms)),
+            connect_timeout_s=1.0,
+        )
+        error = decode_refusal(response.headers)
+        assert error is not None
+        assert error.verdict is Verdict.NOT_RUN and error.reason is Reason.INTERNAL
+        client.close()
+
+    play(test)
