Cut connections of links that are being made when the cut comes

Cause: a link looks whether it is cut, connects to the far side, and only then counts the connection among those that a cut ends. A cut that comes in between misses it, and the process that was to be cut off keeps its connection.

Change: the link looks once more after the connection is made.

--- a/packages/bench/src/borageramp_bench/links.py
+++ b/packages/bench/src/borageramp_bench/links.py
@@ -117,6 +117,8 @@
             return
         opened = [(source, target, writer), (source, target, far_writer)]
         self._open.extend(opened)
+        # A cut may have come while the connection was being made.
+        self._drop()
         await asyncio.gather(
             self._pump(reader, far_writer), self._pump(far_reader, writer)
         )
