Test early and large answers over another instance

Cause: the ways in which an answer may come while its request is still being sent, or larger than what is buffered, were tested for upstreams but not for a request that is forwarded. Change: two tests.

--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -50,6 +50,8 @@
         Whether the instance reaches them.
     refused_connections : int
         Attempts that fail to connect, while health checks are answered.
+    reads_bodies : bool
+        Whether upstreams read the body of a request before they answer.
     answer : callable
         Returns the answer to a request.
     sent : list of CallerRequest
@@ -65,6 +67,7 @@
     def __init__(self) -> None:
         self.reached = True
         self.refused_connections = 0
+        self.reads_bodies = True
         self.answer: Answer = _answer_ok
         self.sent: list[CallerRequest] = []
         self.terms: list[dict[str, Any]] = []
@@ -81,7 +84,8 @@
             raise TryFailedError(AttemptResult.UNREACHABLE)
         self.sent.append(request)
         self.terms.append(terms)
-        self.bodies.append(await read_all(request))
+        if self.reads_bodies:
+            self.bodies.append(await read_all(request))
         try:
             return await self.answer(request)
         except asyncio.CancelledError:
--- a/tests/routed/test_forwarding.py
+++ b/tests/routed/test_forwarding.py
@@ -267,6 +267,36 @@
         return self._body[offset : offset + 65_536]
 
 
+def test_an_answer_that_comes_before_the_body_was_read_is_delivered() -> None:
+    async def test(a: Member, b: Member) -> None:
+        b.client.reads_bodies = False
+        a.cut_off()
+        upload = _Upload(LARGE_BODY)
+        answered = await a.run(make_request(body=LARGE_BODY[:65_536], upload=upload))
+        assert answered.body == b"body"
+        # The connection that was left in the middle of a body carries no other request.
+        answered = await a.run(make_request())
+        assert answered.body == b"body" and len(b.client.sent) == 2
+
+    play(test)
+
+
+def test_a_large_answer_is_passed_on_while_it_arrives() -> None:
+    async def test(a: Member, b: Member) -> None:
+        async def answer(request: Any) -> UpstreamAnswer:
+            return make_upstream_answer(body=LARGE_BODY)
+
+        b.client.answer = answer
+        a.cut_off()
+        answered = await a.run(make_request())
+        body = answered.body
+        while part := await answered.upstream_answer.read(1.0):
+            body += part
+        assert body == LARGE_BODY
+
+    play(test)
+
+
 # Guards against an answer that was cut short and looks whole to the caller.
 def test_an_answer_that_is_cut_short_is_none() -> None:
     async def test(a: Member, b: Member) -> None:
