--- a/packages/entry/src/borageramp_entry/_internal/routed/pools.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/pools.py
@@ -30,7 +30,7 @@
 RETRY_RATIO_SHARE = 0.8
 RETRY_SLACK_SHARE = 0.5
 # Upstreams that are asked to tell a crash from a loss of network.
-MAX_WITNESSES = 3
+MAX_CONFIRMING_UPSTREAMS = 3
 
 
 class PoolRegistry:
@@ -153,7 +153,7 @@
             if other is not view
         ]
         others.sort(key=lambda v: v.pace_reported_at_s, reverse=True)
-        return others[:MAX_WITNESSES]
+        return others[:MAX_CONFIRMING_UPSTREAMS]
 
     def retry_budget(self, service: str) -> RatioBudget:
         """Return this entry's retry budget for a service."""
--- a/tests/routed/test_odd_items.py
+++ b/tests/routed/test_malformed_items.py
@@ -1,4 +1,4 @@
-"""Items of the store that another writer has written, and that make no sense."""
+"""Malformed items of the store, as another writer may leave them."""
 
 import asyncio
 import json
@@ -28,7 +28,7 @@
 NESTED = "[" * DEPTH + "]" * DEPTH
 
 
-def odd_document(**fields: Any) -> bytes:
+def raw_document(**fields: Any) -> bytes:
     """Return a document of an upstream; texts that begin with ``=`` stay as written."""
     text = json.dumps(upstream_document(**fields))
     while '"=' in text:
@@ -38,35 +38,35 @@
     return text.encode()
 
 
-def odd_info(slots: str) -> dict[str, str]:
+def raw_info(slots: str) -> dict[str, str]:
     return {"backend": "records", "zone": "north", "slots": slots}
 
 
-ODD_UPSTREAMS = {
+MALFORMED_UPSTREAMS = {
     "nested": b"[" * DEPTH,
-    "nested in a field that is not known": odd_document(novel=f"={NESTED}"),
-    "nested in a field that is known": odd_document(info=f"={NESTED}"),
-    "slots of 20 digits": odd_document(info=odd_info("=" + "9" * 20)),
-    "slots of 400 digits": odd_document(info=odd_info("=" + "9" * 400)),
-    "slots of 5000 digits": odd_document(info=odd_info("=" + "9" * 5000)),
-    "start of 400 digits": odd_document(born="=" + "9" * 400),
-    "start before all time": odd_document(born=-1),
-    "cold for ever": odd_document(
+    "nested in a field that is not known": raw_document(novel=f"={NESTED}"),
+    "nested in a field that is known": raw_document(info=f"={NESTED}"),
+    "slots of 20 digits": raw_document(info=raw_info("=" + "9" * 20)),
+    "slots of 400 digits": raw_document(info=raw_info("=" + "9" * 400)),
+    "slots of 5000 digits": raw_document(info=raw_info("=" + "9" * 5000)),
+    "start of 400 digits": raw_document(born="=" + "9" * 400),
+    "start before all time": raw_document(born=-1),
+    "cold for ever": raw_document(
         status={"state": "ready", "slow_start_s_time": 1e300}
     ),
-    "cold beyond all numbers": odd_document(
+    "cold beyond all numbers": raw_document(
         status={"state": "ready", "slow_start_s_time": "=1e999"}
     ),
-    "port out of range": odd_document(address="127.0.0.1:99999"),
-    "port 0": odd_document(address="127.0.0.1:0"),
-    "host out of range": odd_document(address="999.1.1.1:80"),
-    "other digits": odd_document(address="٣.1.1.1:80"),
+    "port out of range": raw_document(address="127.0.0.1:99999"),
+    "port 0": raw_document(address="127.0.0.1:0"),
+    "host out of range": raw_document(address="999.1.1.1:80"),
+    "other digits": raw_document(address="٣.1.1.1:80"),
 }
-odd_upstreams = pytest.mark.parametrize(
-    "value", list(ODD_UPSTREAMS.values()), ids=list(ODD_UPSTREAMS)
+malformed_upstreams = pytest.mark.parametrize(
+    "value", list(MALFORMED_UPSTREAMS.values()), ids=list(MALFORMED_UPSTREAMS)
 )
 
-ODD_INSTANCES = {
+MALFORMED_INSTANCES = {
     "nested": b'{"name":' + NESTED.encode() + b"}",
     "port out of range": "127.0.0.1:99999",
     "no port": "127.0.0.1",
@@ -88,29 +88,31 @@
     )
 
 
-@odd_upstreams
-def test_an_upstream_that_makes_no_sense_names_none_to_use(value: bytes) -> None:
-    found = read_item(Item(key="servers/odd", value=value, revision=1))
+@malformed_upstreams
+def test_a_malformed_upstream_is_not_used(value: bytes) -> None:
+    found = read_item(Item(key="servers/m", value=value, revision=1))
     assert isinstance(found, MalformedItem)
 
 
-@pytest.mark.parametrize("odd", list(ODD_INSTANCES.values()), ids=list(ODD_INSTANCES))
-def test_an_instance_that_makes_no_sense_names_none_to_use(odd: bytes | str) -> None:
-    value = odd if isinstance(odd, bytes) else instance_record(odd)
+@pytest.mark.parametrize(
+    "record", list(MALFORMED_INSTANCES.values()), ids=list(MALFORMED_INSTANCES)
+)
+def test_a_malformed_instance_is_not_used(record: bytes | str) -> None:
+    value = record if isinstance(record, bytes) else instance_record(record)
     found = decode_record(Item(key="borageramp/instances/i9", value=value, revision=1))
     assert isinstance(found, MalformedItem)
 
 
-# Guards against processes that end, or stop following the store, over one odd item.
-@odd_upstreams
-def test_the_fleet_goes_on_following_the_store_beside_an_odd_item(
+# Guards against processes that end, or stop following the store, over one such item.
+@malformed_upstreams
+def test_the_fleet_goes_on_following_the_store_beside_a_malformed_item(
     value: bytes,
 ) -> None:
     async def run() -> None:
         fleet = SimulatedFleet(sizes={"a": 3, "b": 3}, bounds={})
         async with fleet.running():
             fleet.register_upstream("u1")
-            fleet.store.put("servers/odd", value)
+            fleet.store.put("servers/m", value)
             changed_at_s = fleet.configure(5)
             await asyncio.sleep(5.0)
             delays = fleet.delays_s(5, since_s=changed_at_s)
@@ -119,13 +121,13 @@
                 registrations = member.state_task.fleet_state.registrations()
                 assert [r.id for r in registrations] == ["u1"]
             # Once it is mended, it is used.
-            fleet.register_upstream("odd")
+            fleet.register_upstream("m")
             await asyncio.sleep(3.0)
             for member in fleet.members:
                 registrations = member.state_task.fleet_state.registrations()
-                assert {r.id for r in registrations} == {"u1", "odd"}
-            # An item that makes no sense any more is as good as removed.
-            fleet.store.put("servers/odd", value)
+                assert {r.id for r in registrations} == {"u1", "m"}
+            # An item that is malformed again counts as removed.
+            fleet.store.put("servers/m", value)
             await asyncio.sleep(3.0)
             for member in fleet.members:
                 registrations = member.state_task.fleet_state.registrations()
@@ -134,14 +136,14 @@
     run_simulated(run())
 
 
-def test_an_instance_that_starts_beside_odd_items_serves(tmp_path: Path) -> None:
+def test_an_instance_that_starts_beside_malformed_items_serves(tmp_path: Path) -> None:
     async def run() -> list[dict[str, Any]]:
         upstream = StubUpstream()
         upstream.work_s = 0.0
         async with running_server(upstream.serve) as port, running_store() as store:
             store.put("op/config", as_bytes(config_document()))
-            for i, value in enumerate(ODD_UPSTREAMS.values()):
-                store.put(f"servers/odd{i}", value)
+            for i, value in enumerate(MALFORMED_UPSTREAMS.values()):
+                store.put(f"servers/m{i}", value)
             store.put("borageramp/instances/i9", instance_record("127.0.0.1:99999"))
             address = f"127.0.0.1:{port}"
             store.put("servers/u1", as_bytes(upstream_document(address=address)))
@@ -158,9 +160,9 @@
             return await instance.stop_with_log()
 
     lines = asyncio.run(run())
-    odd = [line["key"] for line in lines if line["event"] == "item unreadable"]
-    assert sorted(odd) == sorted(
-        [f"servers/odd{i}" for i in range(len(ODD_UPSTREAMS))]
+    unreadable = [line["key"] for line in lines if line["event"] == "item unreadable"]
+    assert sorted(unreadable) == sorted(
+        [f"servers/m{i}" for i in range(len(MALFORMED_UPSTREAMS))]
         + ["borageramp/instances/i9"]
     )
     assert sum(line["event"] == "store read" for line in lines) == 2
@@ -186,8 +188,8 @@
         decode_change(zlib.compress(nested))
 
 
-@odd_upstreams
-def test_a_relay_passes_an_odd_item_on_as_it_is(value: bytes) -> None:
-    item = Item(key="servers/odd", value=value, revision=3)
+@malformed_upstreams
+def test_a_relay_passes_a_malformed_item_on_as_it_is(value: bytes) -> None:
+    item = Item(key="servers/m", value=value, revision=3)
     change = Change(written=(item,), deleted=(), revision=3)
     assert decode_change(encode_change(change)) == change
