Test services that are partly reached, under load

Cause: what a partly reachable service has no room for goes to an instance that reaches more, and isn't passed around among instances that reach as little; no test showed either. Change: two tests with eight requests at once for one reachable upstream of four.

--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -48,6 +48,8 @@
     ----------
     reached : bool
         Whether the instance reaches them.
+    reached_only : str
+        Identifier of the only upstream that it reaches, if not empty.
     refused_connections : int
         Attempts that fail to connect, while health checks are answered.
     reads_bodies : bool
@@ -66,6 +68,7 @@
 
     def __init__(self) -> None:
         self.reached = True
+        self.reached_only = ""
         self.refused_connections = 0
         self.reads_bodies = True
         self.answer: Answer = _answer_ok
@@ -79,9 +82,10 @@
         self, upstream: Any, request: CallerRequest, **terms: Any
     ) -> UpstreamAnswer:
         self.tried += 1
-        if not self.reached or self.refused_connections:
+        if self.refused_connections:
             self.refused_connections -= 1
             raise TryFailedError(AttemptResult.UNREACHABLE)
+        self._check_reached(upstream)
         self.sent.append(request)
         self.terms.append(terms)
         if self.reads_bodies:
@@ -92,9 +96,12 @@
             self.cancelled += 1
             raise
 
-    async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
-        if not self.reached:
+    def _check_reached(self, upstream: Any) -> None:
+        if not self.reached or self.reached_only not in ("", upstream.name):
             raise TryFailedError(AttemptResult.UNREACHABLE)
+
+    async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
+        self._check_reached(upstream)
         return HealthAnswer(healthy=True, report=make_report())
 
     def forget(self, upstream: Any, **_: Any) -> int:
--- a/tests/routed/test_forwarding_load.py
+++ b/tests/routed/test_forwarding_load.py
@@ -3,17 +3,25 @@
 import asyncio
 from typing import Any
 
-from borageramp_core import RefusedError
+from borageramp_core import AttemptResult, RefusedError
 from borageramp_entry._internal.serving.upstreams import UpstreamAnswer
 from tests.lib.dispatching import make_upstream_answer
 from tests.lib.forwarding import Member, make_request, running_members
 
 WORK_S = 0.02
 INTERVAL_S = 0.01
+LONG_WORK_S = 0.2
+# Requests that one stub upstream runs at a time.
+SLOTS = 4
 # Longest time until an answer that callers count as quick.
 OBJECTIVE_S = 0.25
 
 
+async def work_long(request: Any) -> UpstreamAnswer:
+    await asyncio.sleep(LONG_WORK_S)
+    return make_upstream_answer()
+
+
 async def work(request: Any) -> UpstreamAnswer:
     await asyncio.sleep(WORK_S)
     return make_upstream_answer()
@@ -87,3 +95,48 @@
             assert sum(m.client.tried for m in members) == 0
 
     asyncio.run(run())
+
+
+def lose_most(member: Member) -> None:
+    """Lose the links to all upstreams but the first."""
+    first, *others = member.pools.pool("records").views.values()
+    for view in others:
+        member.pools.on_unreached(view, AttemptResult.UNREACHABLE)
+    member.client.reached_only = first.registration.id
+    member.pools.on_reached(first)
+
+
+async def run_at_once(member: Member, count: int) -> int:
+    """Send requests at once; return how many were served."""
+    results = await asyncio.gather(
+        *(member.run(make_request(idempotent=False)) for _ in range(count)),
+        return_exceptions=True,
+    )
+    return sum(not isinstance(r, BaseException) for r in results)
+
+
+# Guards against requests that wait for one upstream while others reach all of them.
+def test_what_a_partly_reached_service_has_no_room_for_goes_elsewhere() -> None:
+    async def run() -> None:
+        async with running_members("a", "b") as (a, b):
+            for member in (a, b):
+                member.client.answer = work_long
+            lose_most(a)
+            assert await run_at_once(a, 2 * SLOTS) == 2 * SLOTS
+            assert a.client.sent and b.client.sent
+            assert len(a.client.sent) + len(b.client.sent) == 2 * SLOTS
+
+    asyncio.run(run())
+
+
+def test_a_partly_reached_service_is_not_passed_around() -> None:
+    async def run() -> None:
+        async with running_members("a", "b") as (a, b):
+            for member in (a, b):
+                member.client.answer = work_long
+                lose_most(member)
+            await run_at_once(a, 2 * SLOTS)
+            assert a.forwarder.forwarded == 0 and not b.client.sent
+            assert len(a.client.sent) >= SLOTS
+
+    asyncio.run(run())
