Log by which configuration a route was refused, and the store's history

The record of the incident can't tell the three hypotheses apart: a refusal without a route didn't say which version decided it, how old that was, or whom the instance had last heard from; a revision didn't say which history of the store it belongs to; an answer of a relay didn't say how old the relay's own knowledge was.

Now 'refused' with unknown_service carries these, the store client reads the history (era) that the platform's store names in each answer, 'knowledge changed' and 'store read' log it, 'store restored' and two gauges show a change of it, and relays add their watch's age in a header, which builds that have landed ignore. No decision uses any of this yet.

A header that is missing, unreadable or falls is logged once, and the last known history assumed; an answer that was under way when it rose keeps its own.

--- a/packages/entry/src/borageramp_entry/_internal/logs.py
+++ b/packages/entry/src/borageramp_entry/_internal/logs.py
@@ -10,7 +10,7 @@
 
 from borageramp_core import TokenBucket
 
-__all__ = ["RateLimit", "configure_logs", "get_logger"]
+__all__ = ["RateLimit", "configure_logs", "get_logger", "to_ms"]
 
 # Lines of one kind that a process writes a second, and at once.
 LINES_HZ = 200.0
@@ -93,6 +93,11 @@
     )
 
 
+def to_ms(duration_s: float | None) -> float | None:
+    """Return a duration in milliseconds for a log line; ``None`` stays."""
+    return None if duration_s is None else round(duration_s * 1000, 1)
+
+
 def get_logger(module: str) -> Any:
     """Return a logger that names its module."""
     return structlog.get_logger(module=module.rpartition(".")[2])
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -14,7 +14,7 @@
     UpstreamView,
 )
 from borageramp_entry._internal.border.server import HttpServer
-from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.logs import get_logger, to_ms
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
 from borageramp_entry._internal.routed.crashes import CrashDetector, make_suspects
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
@@ -155,6 +155,7 @@
             stops_at_s=lambda: self._stops_at_s,
             rng=self._rng,
             clock=self._clock,
+            describe_knowledge=self._sync.describe_knowledge,
         )
         self._forwarded_handler = ForwardedRequestHandler(
             fleet_state=self._sync.fleet_state,
@@ -228,12 +229,14 @@
         _log.info(
             "knowledge changed",
             revision=fleet_state.revision,
+            era=self._sync.task.era,
             config_version=fleet_state.config.version if fleet_state.config else None,
             data_centres_out=sorted(fleet_state.evacuated_data_centres()),
             upstreams=self._pools.upstream_count,
             instances=len(instances),
             source=self._sync.source.source_name,
             answer_gap_ms=round(self._sync.source.answer_gap_s * 1000),
+            source_age_ms=to_ms(self._sync.source.source_age_s),
             took_ms=round((self._clock() - began_at_s) * 1000, 1),
         )
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from borageramp_core import Reason, RefusedError, Verdict
 from borageramp_core.routing import FleetState, Route, choose_service
 from borageramp_entry._internal.border.server import HttpRequest
-from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.logs import get_logger, to_ms
 from borageramp_entry._internal.routed.attempts import RoutedAnswer
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.interfaces import CallerDialect
@@ -51,6 +51,8 @@
         Random number generator.
     clock : callable
         Returns the current time in seconds.
+    describe_knowledge : callable, optional
+        Returns log fields on the configuration that routes are matched by.
 
     Attributes
     ----------
@@ -71,8 +73,10 @@
         stops_at_s: Callable[[], float],
         rng: random.Random,
         clock: Callable[[], float],
+        describe_knowledge: Callable[[], Mapping[str, object]] = dict,
     ) -> None:
         self._fleet_state = fleet_state
+        self.describe_knowledge = describe_knowledge
         self.dispatcher = dispatcher
         self.dialect = dialect
         self.metrics: Metrics | None = None
@@ -223,10 +227,6 @@
     return RefusedError(verdict=Verdict.NOT_RUN, reason=reason, detail=detail)
 
 
-def _ms(duration_s: float | None) -> float | None:
-    return None if duration_s is None else round(duration_s * 1000, 1)
-
-
 class _Exchange:
     """Handles one request of a caller."""
 
@@ -260,8 +260,8 @@
             took_ms=round(duration_s * 1000, 1),
             route=routed.route.name if routed else None,
             service=routed.caller.service if routed else None,
-            deadline_ms=_ms(self._deadline_s),
-            objective_ms=_ms(routed.route.objective_s) if routed else None,
+            deadline_ms=to_ms(self._deadline_s),
+            objective_ms=to_ms(routed.route.objective_s) if routed else None,
         )
 
     async def _run(self) -> str:
@@ -328,6 +328,9 @@
         response = self._handler.dialect.refusal_response(
             error, request_id=self._request_id
         )
+        knowledge: Mapping[str, object] = {}
+        if error.reason is Reason.UNKNOWN_SERVICE:
+            knowledge = self._handler.describe_knowledge()
         _log.info(
             "refused",
             request_id=self._request_id,
@@ -336,6 +339,7 @@
             reason=error.reason.value,
             detail=error.detail,
             retry_after_s=error.retry_after_s,
+            **knowledge,
         )
         self._request.answer(
             response.status,
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -27,9 +27,16 @@
     NotConnectedError,
 )
 from borageramp_entry._internal.serving.http_response import BrokenExchangeError
+from borageramp_entry._internal.serving.requests import Headers
 from borageramp_entry._internal.store.base import Change, Store
 
-__all__ = ["CHANGES_PATH", "ChangeSource", "PeerClient", "RelayUnavailableError"]
+__all__ = [
+    "CHANGES_PATH",
+    "WATCH_AGE_HEADER",
+    "ChangeSource",
+    "PeerClient",
+    "RelayUnavailableError",
+]
 
 _log = get_logger(__name__)
 
@@ -48,6 +55,8 @@
 IDLE_TIMEOUT_S = 5.0
 STATUS_OK = 200
 STORE_NAME = "store"
+# Header with the age of a relay's own knowledge, in milliseconds.
+WATCH_AGE_HEADER = "borageramp-watch-age-ms"
 
 
 class RelayUnavailableError(Exception):
@@ -58,6 +67,7 @@
     """Response of another instance."""
 
     status: int
+    headers: Headers
 
     async def read_all(self) -> bytes:
         """Return the whole body."""
@@ -112,6 +122,9 @@
         Name of the relay that answered last, or ``store``; empty at first.
     answer_gap_s : float
         Time in seconds between that answer and the one before.
+    source_age_s : float or None
+        Age in seconds of what the relay knew when it answered; 0 for the store,
+        ``None`` if the relay doesn't say.
     """
 
     def __init__(
@@ -139,6 +152,7 @@
         self._last_contact_at_s = float("-inf")
         self.source_name = ""
         self.answer_gap_s = 0.0
+        self.source_age_s: float | None = 0.0
         self._watch_answered_at_s = clock()
         self._selector = SourceSelector(plan=plan, rng=rng, now_s=clock())
 
@@ -217,6 +231,7 @@
             ):
                 self.on_contact()
                 self._on_answer(STORE_NAME)
+                self.source_age_s = 0.0
                 self._watch_answered_at_s = self._clock()
                 self._selector.on_store_answer(now_s=self._clock())
                 self._change_log.append(change)
@@ -279,6 +294,7 @@
             raise RelayUnavailableError(repr(error)) from error
         if response.status != STATUS_OK:
             raise RelayUnavailableError(f"status {response.status}")
+        self.source_age_s = _watch_age_s(response.headers)
         try:
             return decode_change(body)
         except MalformedChangeError as error:
@@ -323,3 +339,9 @@
     def close(self) -> None:
         """Close the connections to relays."""
         self._peers.close()
+
+
+def _watch_age_s(headers: Headers) -> float | None:
+    """Return the age of a relay's knowledge; ``None`` if it doesn't say."""
+    value = next((v for name, v in headers if name == WATCH_AGE_HEADER), b"")
+    return int(value) / 1000 if value.isdigit() else None
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -59,6 +59,10 @@
         State read from the store.
     initial_sync_done : bool
         Whether all items have been read at least once.
+    era : int
+        History of the store that the fleet state follows; 0 if it doesn't say.
+    restores : int
+        Number of times that the store came back from an older copy.
     """
 
     def __init__(
@@ -75,6 +79,10 @@
     ) -> None:
         self.fleet_state = FleetState()
         self.initial_sync_done = False
+        self.era = 0
+        self.restores = 0
+        self._config_version: int | None = None
+        self._config_changed_at_s = float("-inf")
         self._store = store
         self._prefix = prefix
         self._read_item = read_item
@@ -96,6 +104,17 @@
         """Return the time in seconds since the last contact with the store."""
         return self._clock() - self._last_contact_at_s
 
+    def config_age_s(self) -> float:
+        """Return the time in seconds since the configuration changed."""
+        return self._clock() - self._config_changed_at_s
+
+    def _on_state_changed(self) -> None:
+        config = self.fleet_state.config
+        if config is not None and config.version != self._config_version:
+            self._config_version = config.version
+            self._config_changed_at_s = self._clock()
+        self._on_change()
+
     async def run(self) -> None:
         """Read and watch the store until cancelled."""
         synced = False
@@ -196,9 +215,22 @@
         )
         self._schedule_drop_missing()
         self.fleet_state.revision = listing.revision
+        self._on_era(listing.era)
         self.initial_sync_done = True
-        _log.info("store read", revision=listing.revision, items=len(state_items))
-        self._on_change()
+        _log.info(
+            "store read",
+            revision=listing.revision,
+            era=listing.era,
+            items=len(state_items),
+        )
+        self._on_state_changed()
+
+    def _on_era(self, era: int) -> None:
+        """Record the history of the store that the fleet state now follows."""
+        if self.era and era > self.era:
+            self.restores += 1
+            _log.warning("store restored", era=era, era_before=self.era)
+        self.era = era
 
     async def _watch(self) -> None:
         changes = self._source.watch(from_revision=self.fleet_state.revision + 1)
@@ -219,7 +251,7 @@
             changed |= self._apply_delete(key)
         self.fleet_state.revision = max(self.fleet_state.revision, change.revision)
         if changed:
-            self._on_change()
+            self._on_state_changed()
 
     def _schedule_drop_missing(self) -> None:
         loop = asyncio.get_running_loop()
@@ -233,7 +265,7 @@
         for key in dropped_keys:
             _log.info("upstream gone", key=key, why="not registered again")
         if dropped_keys:
-            self._on_change()
+            self._on_state_changed()
 
     def _apply_write(self, item: Item, state_item: StateItem) -> bool:
         changed = self.fleet_state.put(item.key, state_item)
--- a/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -45,6 +45,16 @@
         "Seconds since the watch of the store was answered; 0 without one.",
         source.watch_age_s,
     )
+    gauge(
+        "borageramp_store_era",
+        "History of the store that this instance follows; 0 if it doesn't say.",
+        lambda: fleet_state_task.era,
+    )
+    gauge(
+        "borageramp_store_restores",
+        "Times that the store came back from an older copy.",
+        lambda: fleet_state_task.restores,
+    )
     gauge("borageramp_probes_sent", "Probes sent.", lambda: prober.sent)
     gauge("borageramp_probes_failed", "Probes not answered.", lambda: prober.failed)
     gauge(
--- a/packages/entry/src/borageramp_entry/_internal/routed/resources.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/resources.py
@@ -10,11 +10,13 @@
 from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.routed.change_source import (
     CHANGES_PATH,
+    WATCH_AGE_HEADER,
     ChangeSource,
     RelayUnavailableError,
 )
 from borageramp_entry._internal.routed.instance_directory import InstanceDirectory
 from borageramp_entry._internal.routed.interfaces import DirectoryDialect
+from borageramp_entry._internal.serving.requests import Headers
 
 if TYPE_CHECKING:
     from borageramp_entry._internal.metrics import Metrics
@@ -35,8 +37,14 @@
 JSON_CONTENT_TYPE = b"application/json"
 
 
-def _send(request: HttpRequest, status: int, body: bytes, content_type: bytes) -> None:
-    request.answer(status, (("content-type", content_type),), body)
+def _send(
+    request: HttpRequest,
+    status: int,
+    body: bytes,
+    content_type: bytes,
+    headers: Headers = (),
+) -> None:
+    request.answer(status, (("content-type", content_type), *headers), body)
 
 
 class _Resource:
@@ -164,7 +172,9 @@
     async def serve(self, request: HttpRequest) -> None:
         """Handle a request and send its response."""
         status, body = await self._read_changes(request)
-        _send(request, status, body, b"application/octet-stream")
+        age_ms = round(self._source.watch_age_s() * 1000)
+        headers = ((WATCH_AGE_HEADER, b"%d" % age_ms),)
+        _send(request, status, body, b"application/octet-stream", headers)
 
     async def _read_changes(self, request: HttpRequest) -> tuple[int, bytes]:
         if request.path != CHANGES_PATH:
--- a/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from borageramp_core.routing import FleetState, Instance, RelayPlan, StateItem
+from borageramp_entry._internal.logs import to_ms
 from borageramp_entry._internal.routed.change_source import ChangeSource
 from borageramp_entry._internal.routed.fleet_state import FleetStateTask
 from borageramp_entry._internal.routed.instance_directory import InstanceDirectory
@@ -129,6 +130,19 @@
         self.registration.on_instances_changed({i.name for i in instances})
         return instances
 
+    def describe_knowledge(self) -> dict[str, object]:
+        """Return log fields on the configuration in force and how fresh it is."""
+        config = self.fleet_state.config
+        return dict(
+            config_version=config.version if config is not None else None,
+            config_age_ms=to_ms(self.task.config_age_s()),
+            revision=self.fleet_state.revision,
+            era=self.task.era,
+            source=self.source.source_name,
+            unconfirmed_ms=to_ms(self.source.unconfirmed_s()),
+            source_age_ms=to_ms(self.source.source_age_s),
+        )
+
     def start(self) -> list[asyncio.Task[None]]:
         """Start the tasks; the first one registers this instance."""
         return [
--- a/packages/entry/src/borageramp_entry/_internal/store/base.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/base.py
@@ -45,10 +45,13 @@
         The items in the order of their keys.
     revision : int
         Revision of the store.
+    era : int
+        History that the revision belongs to; 0 if the store doesn't say.
     """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,11 +67,14 @@
     revision : int
         Revision up to which the watch has now told everything; 0 if the
         store doesn't say.
+    era : int
+        History that the revision belongs to; 0 if the store doesn't say.
     """
 
     written: tuple[Item, ...]
     deleted: tuple[str, ...]
     revision: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -149,8 +155,17 @@
 
     Each method raises ``StoreUnavailableError`` if the service can't be
     reached. A write whose answer is lost raises ``OutcomeUnknownError``.
+
+    Attributes
+    ----------
+    era : int
+        Latest history that an answer has named: one more each time the service
+        comes back from an older copy, so that revisions are given out again. 0 if
+        the service doesn't say.
     """
 
+    era: int
+
     async def read(self, prefix: str) -> Listing:
         """Read all items whose keys start with a prefix, linearizably."""
 
--- a/packages/entry/src/borageramp_entry/_internal/store/etcd.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/etcd.py
@@ -65,6 +65,8 @@
         self._channel: Channel | None = None
         self._retired: set[Channel] = set()
         self.calls = 0
+        # etcd names no history in its answers.
+        self.era = 0
 
     def _connect(self) -> Channel:
         if self._channel is None:
--- a/packages/entry/src/borageramp_entry/routed.py
+++ b/packages/entry/src/borageramp_entry/routed.py
@@ -1,6 +1,7 @@
 """Interfaces and types for platform adapters."""
 
 from borageramp_entry._internal.addresses import split_ip_address
+from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.interfaces import (
     CallerDialect,
     DirectoryDialect,
@@ -58,6 +59,7 @@
     "RefusalResponse",
     "Store",
     "UpstreamDialect",
+    "get_logger",
     "pass_headers",
     "split_ip_address",
 ]
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -26,6 +26,8 @@
         (watches are never answered) or empty.
     calls : list of str
         Method and path of each call.
+    era : str
+        History that answers name; none if empty.
     """
 
     def __init__(self) -> None:
@@ -35,6 +37,7 @@
         self.oldest = 0
         self.fault = ""
         self.calls: list[str] = []
+        self.era = ""
         self.leases: set[int] = set()
         self._changed = asyncio.Event()
         self.address = ""
@@ -182,9 +185,9 @@
         if self.fault == "lost" and method == "POST":
             await asyncio.sleep(3600)
         body = json.dumps(reply).encode()
-        writer.write(
-            b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n" % (status, len(body)) + body
-        )
+        era = f"store-era: {self.era}\r\n".encode() if self.era else b""
+        status_line = b"HTTP/1.1 %d x\r\n%scontent-length: %d\r\n\r\n"
+        writer.write(status_line % (status, era, len(body)) + body)
         await writer.drain()
         return True
 
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -20,6 +20,7 @@
 )
 from borageramp_entry._internal.routed.records import decode_record
 from borageramp_entry._internal.serving.http_client import NotConnectedError
+from borageramp_entry._internal.serving.requests import Headers
 from borageramp_entry._internal.store.base import Item
 from borageramp_platform.boot import settings_from
 from borageramp_platform.documents import read_item
@@ -44,8 +45,9 @@
 
 
 class _Response:
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(self, status: int, body: bytes, headers: Headers = ()) -> None:
         self.status = status
+        self.headers = headers
         self._body = body
 
     async def read_all(self) -> bytes:
--- a/tests/routed/test_store_client.py
+++ b/tests/routed/test_store_client.py
@@ -178,3 +178,48 @@
         assert (await next_change(client, fake)).written == ()
 
     with_store(test)
+
+
+def test_answers_name_the_history_that_they_belong_to() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        assert (await client.read("")).era == 0
+        fake.era = "3"
+        assert (await client.read("")).era == 3
+        fake.put("a", b"1")
+        async for change in client.watch("", from_revision=fake.revision):
+            assert change.era == 3
+            break
+        fake.era = "4"
+        lease_id = await client.grant_lease(3.0)
+        assert await client.keep_lease(lease_id)
+        assert client.era == 4
+
+    with_store(test)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "2.5", "1", "9" * 400])
+def test_a_history_that_makes_no_sense_counts_as_the_last_one_known(era: str) -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.era = "3"
+        await client.read("")
+        fake.era = era
+        assert (await client.read("")).era == 3
+        assert client.era == 3
+
+    with_store(test)
+
+
+def test_a_late_answer_belongs_to_the_history_that_it_names() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.era = "3"
+        await client.read("")
+        fake.fault = "deaf"
+        late = asyncio.ensure_future(next_change(client, fake))
+        await asyncio.sleep(0.1)
+        fake.era = "4"
+        await client.read("")
+        assert client.era == 4
+        fake.era = "3"
+        assert (await late).era == 3
+
+    with_store(test)
--- a/tests/routed/test_terms.py
+++ b/tests/routed/test_terms.py
@@ -1,10 +1,12 @@
 """Deadlines and bodies of caller requests, and refusals of invalid ones."""
 
+import asyncio
 import random
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
+from structlog.testing import capture_logs
 
 from borageramp_core import Reason, RefusedError, Verdict
 from borageramp_core.routing import FleetState
@@ -110,3 +112,16 @@
     request = make_request(**{DEADLINE: b"200"})
     routed = handler.build_routed_request(request, arrived_at_s=NOW_S)
     assert routed.caller.deadline_s == pytest.approx(NOW_S + 0.2)
+
+
+def test_a_refusal_without_a_route_logs_the_configuration_that_decided() -> None:
+    handler = make_handler()
+    handler.describe_knowledge = lambda: {"config_age_ms": 5.0, "era": 2}
+    request: Any = make_request()
+    request.headers = (("host", b"unknown.example"), (REQUEST_ID, b"1"))
+    request.answer = lambda *args, **kwargs: None
+    with capture_logs() as lines:
+        asyncio.run(handler.serve(request))
+    refused = next(line for line in lines if line["event"] == "refused")
+    assert refused["status"] == 404
+    assert (refused["config_age_ms"], refused["era"]) == (5.0, 2)
