--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -166,6 +166,10 @@
         for data_centre in state.evacuated_data_centres():
             self.in_force.setdefault(data_centre, _now_s())
 
+    def upstream_names(self) -> set[str]:
+        """Return the upstreams that the instance knows."""
+        return {r.id for r in self.state_task.fleet_state.registrations()}
+
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start what the instance runs."""
         return [
@@ -246,6 +250,14 @@
         """Write the registration of an upstream."""
         self.store.put(UPSTREAMS_PREFIX + name, as_bytes(upstream_document()))
 
+    def upstream_names(self) -> set[str]:
+        """Return the upstreams that are registered."""
+        return {
+            key.removeprefix(UPSTREAMS_PREFIX)
+            for key in self.store.items
+            if key.startswith(UPSTREAMS_PREFIX)
+        }
+
     def remove_upstream(self, name: str) -> float:
         """Remove a registration; return the time of the acknowledgement."""
         self.store.remove(UPSTREAMS_PREFIX + name)
--- a/tests/lib/simulated_store.py
+++ b/tests/lib/simulated_store.py
@@ -1,12 +1,19 @@
 """A simulated key-value store with watches and leases, in simulated time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import dataclass
 
-from borageramp_core import OutcomeUnknownError, StoreUnavailableError
+from borageramp_core import (
+    HistoryLostError,
+    LeaseLostError,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+)
 from borageramp_entry._internal.store.base import Change, Commit, Item, Listing, Outcome
 
-__all__ = ["SimulatedStore", "SimulatedStoreClient"]
+__all__ = ["SimulatedStore", "SimulatedStoreClient", "StoreCopy"]
 
 CALL_TIMEOUT_S = 1.5
 CALL_DELAY_S = 0.004
@@ -15,6 +22,17 @@
 WATCH_TIMEOUT_S = 0.7
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """State of the store at one moment."""
+
+    items: dict[str, Item]
+    log: list[tuple[int, str, Item | None]]
+    revision: int
+    lease_count: int
+    leases: dict[int, tuple[float, set[str]]]
+
+
 class SimulatedStore:
     """Items with one revision counter, watches and leases.
 
@@ -26,6 +44,10 @@
         Whether all calls fail.
     calls : int
         Calls that count in full.
+    reads : int
+        Reads of all items.
+    era : int
+        Number of the history: one more after each restore.
     """
 
     def __init__(self) -> None:
@@ -33,6 +55,8 @@
         self.log: list[tuple[int, str, Item | None]] = []
         self.revision = 1
         self.calls = 0
+        self.reads = 0
+        self.era = 1
         self.call_delay_s = CALL_DELAY_S
         self.down = False
         self._pending_watches: set[int] = set()
@@ -60,6 +84,40 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            items=dict(self.items),
+            log=list(self.log),
+            revision=self.revision,
+            lease_count=self._lease_count,
+            leases={
+                lease_id: (ttl_s, set(keys))
+                for lease_id, (_, ttl_s, keys) in self._leases.items()
+            },
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and cut all calls that wait."""
+        self.items, self.log = dict(copy.items), list(copy.log)
+        self.revision, self._lease_count = copy.revision, copy.lease_count
+        now_s = _now_s()
+        self._leases = {
+            lease_id: (now_s + ttl_s, ttl_s, set(keys))
+            for lease_id, (ttl_s, keys) in copy.leases.items()
+        }
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @contextlib.contextmanager
+    def uninterrupted(self) -> Iterator[None]:
+        """Fail if the store is restored meanwhile: its connections are cut."""
+        era = self.era
+        yield
+        if self.era != era or self.down:
+            raise OutcomeUnknownError("connection cut")
+
     def lose_pending_watches(self) -> None:
         """Answer no watch that waits now; later ones, and other calls, are answered."""
         self._unheard_watches |= self._pending_watches
@@ -71,7 +129,10 @@
         self._pending_watches.add(number)
         try:
             async with asyncio.timeout(wait_s):
-                while self.revision <= after or number in self._unheard_watches:
+                era = self.era
+                while self.era == era and (
+                    self.revision <= after or number in self._unheard_watches
+                ):
                     await self._changed.wait()
         except TimeoutError:
             pass
@@ -95,8 +156,14 @@
         self._leases[lease_id] = (_now_s() + ttl_s, ttl_s, keys)
         return True
 
+    def has_lease(self, lease_id: int) -> bool:
+        """Return whether a lease exists."""
+        return lease_id in self._leases
+
     def attach(self, lease_id: int, key: str) -> None:
         """Delete a key when a lease ends."""
+        for _, _, keys in self._leases.values():
+            keys.discard(key)
         self._leases[lease_id][2].add(key)
 
     async def expire_leases(self) -> None:
@@ -139,11 +206,13 @@
         if self._is_silent():
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise OutcomeUnknownError("no answer")
-        await asyncio.sleep(self._store.call_delay_s)
-        if self._store.down:
-            raise StoreUnavailableError("down")
+        with self._store.uninterrupted():
+            await asyncio.sleep(self._store.call_delay_s)
+            if self._store.down:
+                raise StoreUnavailableError("down")
 
     async def read(self, prefix: str) -> Listing:
+        self._store.reads += 1
         await self._call()
         items = tuple(i for k, i in self._store.items.items() if k.startswith(prefix))
         return Listing(items=items, revision=self._store.revision)
@@ -153,7 +222,9 @@
         wait_s = FIRST_WATCH_WAIT_S
         while True:
             await self._call()
-            await self._store.wait_for_changes(after=after, wait_s=wait_s)
+            if after > self._store.revision:
+                raise HistoryLostError("no such revision")
+            await self._wait_for_changes(after=after, wait_s=wait_s)
             wait_s = self._watch_wait_s
             if self._is_silent():
                 await asyncio.sleep(CALL_TIMEOUT_S)
@@ -166,10 +237,19 @@
                 revision=after,
             )
 
+    async def _wait_for_changes(self, *, after: int, wait_s: float) -> None:
+        try:
+            with self._store.uninterrupted():
+                await self._store.wait_for_changes(after=after, wait_s=wait_s)
+        except OutcomeUnknownError as error:
+            raise StoreUnavailableError(str(error)) from error
+
     async def commit(self, commits: list[Commit]) -> list[Outcome]:
         await self._call()
         for put in (p for c in commits for p in c.puts):
             assert put.value is not None
+            if not self._store.has_lease(put.lease_id):
+                raise LeaseLostError("no such lease")
             self._store.put(put.key, put.value)
             self._store.attach(put.lease_id, put.key)
         return [Outcome(succeeded=True, revision=self._store.revision)]
--- /dev/null
+++ b/tests/routed/test_store_restore.py
@@ -0,0 +1,91 @@
+"""Fleets whose store comes back from an older copy, with revisions given out again."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.simulated_fleet import SimulatedFleet
+from tests.lib.simulated_time import run_simulated
+from tests.lib.store_restore import Restore, restore_store, writing_upstreams
+
+# Instances by data centre, and the time within which a change must be in force.
+SMALL = ({"a": 5, "b": 5, "c": 4}, 2.0)
+GROWN = ({"a": 48, "b": 46, "c": 42}, 2.5)
+# Instances need not follow changes in time until this long after the restore.
+CONTACT_S = 3.0
+WRITES_HZ = 2.0
+SETTLE_S = 20.0
+
+Sizes = tuple[dict[str, int], float]
+
+
+def make_fleet(sizes: Sizes, *, seed: int = 1) -> SimulatedFleet:
+    instances, limit_s = sizes
+    bounds = {"config_apply_s": limit_s, "drain_s": limit_s, "contact_s": CONTACT_S}
+    return SimulatedFleet(sizes=instances, bounds=bounds, seed=seed)
+
+
+def late_after_restore(sizes: Sizes, restore: Restore, *, after_s: float) -> list[str]:
+    """Return the instances that have a configuration late.
+
+    Parameters
+    ----------
+    sizes : tuple
+        Instances by data centre, and the limit of a configuration in seconds.
+    restore : Restore
+        How the store comes back.
+    after_s : float
+        Time from then to the configuration.
+    """
+
+    async def run() -> list[str]:
+        fleet = make_fleet(sizes, seed=2)
+        async with fleet.running():
+            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+            await asyncio.sleep(0.1)
+            fleet.configure(3)
+            await asyncio.sleep(2.0)
+            await restore_store(fleet, restore)
+            await asyncio.sleep(after_s)
+            configured_at_s = fleet.configure(5)
+            await asyncio.sleep(SETTLE_S)
+            writing.cancel()
+            delays_s = fleet.delays_s(5, since_s=configured_at_s)
+            limit_s = max(sizes[1], CONTACT_S - after_s)
+            return [name for name, delay_s in delays_s.items() if delay_s > limit_s]
+
+    return run_simulated(run())
+
+
+# Guards against instances that stand at a revision of a history that the store has
+# lost: they wait for numbers that are given out again, and miss what these mean now.
+@pytest.mark.parametrize("after_s", [0.02, 0.3, 1.0])
+@pytest.mark.parametrize("lost_revisions", [6, 20])
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_a_change_after_a_restore_of_the_store_is_in_force_in_time(
+    sizes: Sizes, lost_revisions: int, after_s: float
+) -> None:
+    restore = Restore(lost_revisions=lost_revisions)
+    assert late_after_restore(sizes, restore, after_s=after_s) == []
+
+
+# Guards against instances that mix items of two histories.
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_all_instances_know_the_same_upstreams_after_a_restore(sizes: Sizes) -> None:
+    async def run() -> tuple[set[frozenset[str]], set[str]]:
+        fleet = make_fleet(sizes, seed=2)
+        fleet.register_upstream("leaves")
+        async with fleet.running():
+            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+            await asyncio.sleep(2.0)
+            await restore_store(fleet, Restore(lost_revisions=6))
+            fleet.remove_upstream("leaves")
+            fleet.register_upstream("joins")
+            await asyncio.sleep(SETTLE_S)
+            writing.cancel()
+            known = {frozenset(m.upstream_names()) for m in fleet.members}
+            return known, fleet.upstream_names()
+
+    known, registered = run_simulated(run())
+    assert known == {frozenset(registered)}
+    assert "joins" in registered and "leaves" not in registered
