Follow the store by era and revision, so that a restore is noticed

What callers saw: a request refused with 404 as an older configuration says, 5.2 s after the change was acknowledged, by one of 136 instances.

Cause: a revision alone was taken as a position in the store's history. After the store comes back from an older copy, revisions are given out again. An instance that was further than its relay asked for changes after a revision that the store no longer had, was told that nothing is new until the numbers had caught up, and never heard of what was written under them.

Why this works: a position is an era and a revision, one type in the core, ordered in one place. The store names its era in each answer. Whoever stands in an earlier era than an answer of the store, of a relay, or of a lease renewal reads everything anew; a relay in an earlier era tells nothing. An era that only a relay names is believed once. The query and headers between instances are read as before by builds that have landed; beside those, renewals tell of the restore (a test of its own).

--- a/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
@@ -11,6 +11,7 @@
     StateItem,
 )
 from borageramp_core._internal.routing.route_table import RouteTable
+from borageramp_core._internal.routing.store_position import StorePosition
 
 __all__ = ["FleetState"]
 
@@ -24,14 +25,14 @@
         Latest configuration; ``None`` until one has been read.
     table : RouteTable
         Routes of that configuration.
-    revision : int
-        Revision of the store up to which all changes are applied.
+    position : StorePosition
+        Position in the store's history up to which all changes are applied.
     """
 
     def __init__(self) -> None:
         self.config: RoutingConfig | None = None
         self.table = RouteTable()
-        self.revision = 0
+        self.position = StorePosition()
         self._items: dict[str, StateItem] = {}
         self._missing_since_s: dict[str, float] = {}
 
--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -40,6 +40,7 @@
     SourceSelector,
     StoreSource,
 )
+from borageramp_core._internal.routing.store_position import StorePosition
 from borageramp_core._internal.routing.upstream_view import LoadSnapshot, UpstreamView
 from borageramp_core._internal.routing.work_estimate import WorkEstimate
 
@@ -77,6 +78,7 @@
     "SlowdownProfile",
     "SourceSelector",
     "StateItem",
+    "StorePosition",
     "StoreSource",
     "UpstreamView",
     "WaitPolicy",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -228,8 +228,8 @@
             self._peer_server.limits = peer_limits(fleet_state.config.limits)
         _log.info(
             "knowledge changed",
-            revision=fleet_state.revision,
-            era=self._sync.task.era,
+            revision=fleet_state.position.revision,
+            era=fleet_state.position.era,
             config_version=fleet_state.config.version if fleet_state.config else None,
             data_centres_out=sorted(fleet_state.evacuated_data_centres()),
             upstreams=self._pools.upstream_count,
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from borageramp_core import HistoryLostError
+from borageramp_core.routing import StorePosition
 from borageramp_entry._internal.store.base import Change, Item
 from borageramp_settings import StrictStruct
 
@@ -38,36 +39,36 @@
 
     Attributes
     ----------
-    revision : int
-        Store revision up to which the log is complete.
+    position : StorePosition
+        Position in the store's history up to which the log is complete.
     """
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.position = StorePosition()
         self._compacted_revision = 0
         self._changes: deque[_ItemChange] = deque()
         self._changed = asyncio.Event()
         self._encoded: dict[int, bytes] = {}
 
-    def reset(self, revision: int) -> None:
-        """Clear the log and restart after a revision."""
-        self.revision = self._compacted_revision = revision
+    def reset(self, position: StorePosition) -> None:
+        """Clear the log and restart after a position."""
+        self.position = position
+        self._compacted_revision = position.revision
         self._changes.clear()
         self._encoded.clear()
         self.notify_waiters()
 
     def append(self, change: Change) -> None:
-        """Append a change and discard the oldest if the log is full."""
+        """Append a change of the same era and discard the oldest if the log is full."""
         self._encoded.clear()
-        self.revision = max(self.revision, change.revision)
+        self.position = max(self.position, change.position)
+        revision = self.position.revision
         for item in change.written:
             self._changes.append(
-                _ItemChange(revision=self.revision, key=item.key, item=item)
+                _ItemChange(revision=revision, key=item.key, item=item)
             )
         for key in change.deleted:
-            self._changes.append(
-                _ItemChange(revision=self.revision, key=key, item=None)
-            )
+            self._changes.append(_ItemChange(revision=revision, key=key, item=None))
         while len(self._changes) > MAX_LOGGED_CHANGES:
             self._compacted_revision = self._changes.popleft().revision
         if change.written or change.deleted:
@@ -103,7 +104,8 @@
         return Change(
             written=tuple(item for item in latest.values() if item is not None),
             deleted=tuple(key for key, item in latest.items() if item is None),
-            revision=self.revision,
+            revision=self.position.revision,
+            era=self.position.era,
         )
 
     def encoded_since(self, revision: int) -> bytes:
@@ -136,7 +138,10 @@
 
 
 def encode_change(change: Change) -> bytes:
-    """Encode a change for transfer to another instance."""
+    """Encode a change for transfer to another instance.
+
+    Its era is sent apart, as builds that have landed refuse unknown fields here.
+    """
     written = tuple(
         _ItemMessage(key=i.key, value=i.value.decode("latin-1"), revision=i.revision)
         for i in change.written
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import AsyncGenerator, Callable
+from dataclasses import replace
 from typing import Protocol
 
 from borageramp_core import HistoryLostError, StoreError
@@ -13,6 +14,7 @@
     RelayPlan,
     RelaySource,
     SourceSelector,
+    StorePosition,
     StoreSource,
 )
 from borageramp_entry._internal.addresses import split_address
@@ -32,6 +34,7 @@
 
 __all__ = [
     "CHANGES_PATH",
+    "ERA_HEADER",
     "WATCH_AGE_HEADER",
     "ChangeSource",
     "PeerClient",
@@ -54,9 +57,12 @@
 MAX_POLLING_INSTANCES = 48
 IDLE_TIMEOUT_S = 5.0
 STATUS_OK = 200
+MAX_DIGITS = 18
 STORE_NAME = "store"
 # Header with the age of a relay's own knowledge, in milliseconds.
 WATCH_AGE_HEADER = "borageramp-watch-age-ms"
+# Header with the history of the store that a relay follows.
+ERA_HEADER = "borageramp-era"
 
 
 class RelayUnavailableError(Exception):
@@ -149,6 +155,7 @@
         self._change_log = ChangeLog()
         self._watching_store = False
         self._polling_instances = 0
+        self._claimed_era = 0
         self._last_contact_at_s = float("-inf")
         self.source_name = ""
         self.answer_gap_s = 0.0
@@ -192,16 +199,36 @@
         """Record whether the store answered a lease renewal."""
         self._selector.on_renewal(answered=answered, now_s=self._clock())
 
-    async def watch(self, *, from_revision: int) -> AsyncGenerator[Change, None]:
-        """Yield the changes from a revision on; empty ones if nothing changed.
+    def _check_relay_era(
+        self, relay: Instance, headers: Headers, after: StorePosition
+    ) -> None:
+        # Builds that name no era can't tell of a new one; lease renewals do.
+        era = _read_number(headers, ERA_HEADER)
+        if era is None or era <= after.era:
+            return
+        detail = f"{relay.name} follows the store in era {era}"
+        if era <= self._claimed_era:
+            # The store has been read since, and doesn't name it.
+            raise RelayUnavailableError(detail)
+        self._claimed_era = era
+        raise HistoryLostError(detail)
+
+    @property
+    def era(self) -> int:
+        """History of the store that this instance serves changes of."""
+        return self._change_log.position.era
+
+    async def watch(self, *, after: StorePosition) -> AsyncGenerator[Change, None]:
+        """Yield the changes after a position; empty ones if nothing changed.
 
         Raises
         ------
+        HistoryLostError
+            If the changes are no longer kept, or the store has begun a new era.
         StoreError
             If a call of the store failed. A further call of this method goes on
             with the relays.
         """
-        after = from_revision - 1
         while True:
             source = self._selector.select(now_s=self._clock())
             if isinstance(source, Pause):
@@ -213,10 +240,10 @@
                 changes = self._watch_store(after)
             async with contextlib.aclosing(changes):
                 async for change in changes:
-                    after = max(after, change.revision)
+                    after = max(after, change.position)
                     yield change
 
-    async def _watch_store(self, after: int) -> AsyncGenerator[Change, None]:
+    async def _watch_store(self, after: StorePosition) -> AsyncGenerator[Change, None]:
         """Watch the store for as long as it is the source to ask."""
         if not self._plan.is_relay:
             unconfirmed_ms = round(self.unconfirmed_s() * 1000)
@@ -227,8 +254,10 @@
         self._on_watch_started()
         try:
             async for change in self._store.watch(
-                self._prefix, from_revision=after + 1
+                self._prefix, from_revision=after.revision + 1
             ):
+                if change.era != after.era:
+                    raise HistoryLostError(f"the store is in era {change.era}")
                 self.on_contact()
                 self._on_answer(STORE_NAME)
                 self.source_age_s = 0.0
@@ -255,7 +284,7 @@
         return isinstance(source, StoreSource)
 
     async def _poll_relay(
-        self, source: RelaySource, after: int
+        self, source: RelaySource, after: StorePosition
     ) -> AsyncGenerator[Change, None]:
         """Poll a relay once."""
         relay = source.instance
@@ -277,10 +306,11 @@
         yield change
 
     async def _fetch_changes(
-        self, relay: Instance, after: int, *, wait_s: float
+        self, relay: Instance, after: StorePosition, *, wait_s: float
     ) -> Change:
         assert relay.peer_address is not None
-        path = f"{CHANGES_PATH}?after={after}&wait_s={wait_s}"
+        query = f"after={after.revision}&wait_s={wait_s}&era={after.era}"
+        path = f"{CHANGES_PATH}?{query}"
         try:
             async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
                 response = await self._peers.request(
@@ -292,43 +322,54 @@
                 body = await response.read_all()
         except (NotConnectedError, BrokenExchangeError, TimeoutError) as error:
             raise RelayUnavailableError(repr(error)) from error
+        self._check_relay_era(relay, response.headers, after)
         if response.status != STATUS_OK:
             raise RelayUnavailableError(f"status {response.status}")
-        self.source_age_s = _watch_age_s(response.headers)
+        watch_age_ms = _read_number(response.headers, WATCH_AGE_HEADER)
+        self.source_age_s = None if watch_age_ms is None else watch_age_ms / 1000
         try:
-            return decode_change(body)
+            return replace(decode_change(body), era=after.era)
         except MalformedChangeError as error:
             raise RelayUnavailableError(str(error)) from error
 
-    async def wait_for_changes(self, *, after: int, wait_s: float) -> bytes:
-        """Return the encoded changes after a revision, for another instance.
+    async def wait_for_changes(self, *, after: StorePosition, wait_s: float) -> bytes:
+        """Return the encoded changes after a position, for another instance.
 
         Parameters
         ----------
-        after : int
-            Last revision that the other instance has.
+        after : StorePosition
+            Position that the other instance has.
         wait_s : float
             Maximum time in seconds to wait if nothing has changed.
 
         Raises
         ------
         RelayUnavailableError
-            If this instance doesn't watch the store, has lost contact with it, or
-            serves too many other instances.
+            If this instance doesn't watch the store, has lost contact with it,
+            follows an earlier era of it, or serves too many other instances.
         HistoryLostError
-            If some of the changes are no longer in the change log.
+            If some of the changes are no longer in the change log, or are of a later
+            era.
         """
         self._check_contact()
+        self._check_era(after)
         if self._polling_instances >= MAX_POLLING_INSTANCES:
             raise RelayUnavailableError("too many polling instances")
-        if after >= self._change_log.revision:
+        if after >= self._change_log.position:
             self._polling_instances += 1
             try:
                 await self._change_log.wait(wait_s)
             finally:
                 self._polling_instances -= 1
             self._check_contact()
-        return self._change_log.encoded_since(after)
+            self._check_era(after)
+        return self._change_log.encoded_since(after.revision)
+
+    def _check_era(self, after: StorePosition) -> None:
+        if after.era < self.era:
+            raise HistoryLostError(f"the store is in era {self.era}")
+        if after.era > self.era:
+            raise RelayUnavailableError(f"this instance follows era {self.era}")
 
     def _check_contact(self) -> None:
         if not self._watching_store:
@@ -341,7 +382,7 @@
         self._peers.close()
 
 
-def _watch_age_s(headers: Headers) -> float | None:
-    """Return the age of a relay's knowledge; ``None`` if it doesn't say."""
-    value = next((v for name, v in headers if name == WATCH_AGE_HEADER), b"")
-    return int(value) / 1000 if value.isdigit() else None
+def _read_number(headers: Headers, name: str) -> int | None:
+    """Return the number in a header; ``None`` if there is none."""
+    value = next((v for key, v in headers if key == name), b"")
+    return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else None
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 
 from borageramp_core import HistoryLostError, StoreError, StoreUnavailableError
-from borageramp_core.routing import FleetState, MalformedItem, Registration, StateItem
+from borageramp_core.routing import (
+    FleetState,
+    MalformedItem,
+    Registration,
+    StateItem,
+    StorePosition,
+)
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.change_source import ChangeSource
 from borageramp_entry._internal.store.base import Change, Item, Store
@@ -59,8 +65,6 @@
         State read from the store.
     initial_sync_done : bool
         Whether all items have been read at least once.
-    era : int
-        History of the store that the fleet state follows; 0 if it doesn't say.
     restores : int
         Number of times that the store came back from an older copy.
     """
@@ -79,7 +83,6 @@
     ) -> None:
         self.fleet_state = FleetState()
         self.initial_sync_done = False
-        self.era = 0
         self.restores = 0
         self._config_version: int | None = None
         self._config_changed_at_s = float("-inf")
@@ -94,6 +97,7 @@
         self._last_contact_at_s = float("-inf")
         self._recovered_at_s = float("-inf")
         self._reachable = True
+        self._synced = False
         self._renewal_failing = False
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._store_recovered = asyncio.Event()
@@ -117,21 +121,23 @@
 
     async def run(self) -> None:
         """Read and watch the store until cancelled."""
-        synced = False
         while True:
             try:
-                if not synced:
+                if not self._synced:
                     await self._read_full_state()
-                    synced = True
                 await self._watch_until_restarted()
-            except HistoryLostError:
-                _log.warning("store history lost", revision=self.fleet_state.revision)
-                synced = False
+            except HistoryLostError as error:
+                self._log_store("store history lost", error=str(error))
+                self._synced = False
             except StoreError as error:
                 self._on_failure(error)
-                if not synced:
+                if not self._synced:
                     await self._wait_before_retry()
 
+    def _log_store(self, event: str, **fields: object) -> None:
+        position = self.fleet_state.position
+        _log.warning(event, revision=position.revision, era=position.era, **fields)
+
     async def _wait_before_retry(self) -> None:
         """Wait for the retry delay or until a lease renewal succeeds.
 
@@ -159,6 +165,9 @@
                 self._renewal_failing = False
                 self._store_recovered.set()
                 self._restart_watch()
+            if self._store.era > self.fleet_state.position.era:
+                self._synced = False
+                self._restart_watch()
             return
         self._renewal_failing = True
         self._on_failure(StoreUnavailableError("lease renewal failed"))
@@ -179,9 +188,7 @@
     def _on_failure(self, error: StoreError) -> None:
         if self._reachable:
             self._reachable = False
-            _log.warning(
-                "store lost", error=str(error), revision=self.fleet_state.revision
-            )
+            self._log_store("store lost", error=str(error))
 
     def _on_contact(self) -> None:
         now_s = self._clock()
@@ -191,7 +198,7 @@
         if not self._reachable:
             self._reachable = True
             self._recovered_at_s = now_s
-            _log.info("store regained", revision=self.fleet_state.revision)
+            self._log_store("store regained")
 
     def _within_rejoin_window(self) -> bool:
         """Return whether an outage is ongoing or ended less than ``rejoin_s`` ago.
@@ -214,8 +221,8 @@
             state_items, after_outage=self._within_rejoin_window(), now_s=self._clock()
         )
         self._schedule_drop_missing()
-        self.fleet_state.revision = listing.revision
-        self._on_era(listing.era)
+        self._move_to(listing.position)
+        self._synced = True
         self.initial_sync_done = True
         _log.info(
             "store read",
@@ -225,15 +232,24 @@
         )
         self._on_state_changed()
 
-    def _on_era(self, era: int) -> None:
-        """Record the history of the store that the fleet state now follows."""
-        if self.era and era > self.era:
+    def _move_to(self, position: StorePosition) -> None:
+        """Go on from a position at which all items have been read."""
+        before = self.fleet_state.position
+        if position.era != before.era:
+            self._malformed_revisions.clear()
+        if before.era and position.era > before.era:
             self.restores += 1
-            _log.warning("store restored", era=era, era_before=self.era)
-        self.era = era
+            _log.warning(
+                "store restored",
+                era=position.era,
+                revision=position.revision,
+                era_before=before.era,
+                revision_before=before.revision,
+            )
+        self.fleet_state.position = position
 
     async def _watch(self) -> None:
-        changes = self._source.watch(from_revision=self.fleet_state.revision + 1)
+        changes = self._source.watch(after=self.fleet_state.position)
         async with contextlib.aclosing(changes):
             async for change in changes:
                 self._last_contact_at_s = self._clock()
@@ -249,7 +265,8 @@
                 changed |= self._apply_write(item, state_item)
         for key in change.deleted:
             changed |= self._apply_delete(key)
-        self.fleet_state.revision = max(self.fleet_state.revision, change.revision)
+        position = max(self.fleet_state.position, change.position)
+        self.fleet_state.position = position
         if changed:
             self._on_state_changed()
 
@@ -287,7 +304,8 @@
         self._malformed_revisions.pop(key, None)
         removed = self.fleet_state.remove(key)
         if removed:
-            _log.info("item removed", key=key, revision=self.fleet_state.revision)
+            revision = self.fleet_state.position.revision
+            _log.info("item removed", key=key, revision=revision)
         return removed
 
     def _parse_item(self, item: Item) -> StateItem | None:
--- a/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -48,7 +48,7 @@
     gauge(
         "borageramp_store_era",
         "History of the store that this instance follows; 0 if it doesn't say.",
-        lambda: fleet_state_task.era,
+        lambda: fleet_state_task.fleet_state.position.era,
     )
     gauge(
         "borageramp_store_restores",
--- a/packages/entry/src/borageramp_entry/_internal/routed/resources.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/resources.py
@@ -6,10 +6,11 @@
 from urllib.parse import parse_qs
 
 from borageramp_core import HistoryLostError
-from borageramp_core.routing import Instance
+from borageramp_core.routing import Instance, StorePosition
 from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.routed.change_source import (
     CHANGES_PATH,
+    ERA_HEADER,
     WATCH_AGE_HEADER,
     ChangeSource,
     RelayUnavailableError,
@@ -173,7 +174,10 @@
         """Handle a request and send its response."""
         status, body = await self._read_changes(request)
         age_ms = round(self._source.watch_age_s() * 1000)
-        headers = ((WATCH_AGE_HEADER, b"%d" % age_ms),)
+        headers = (
+            (WATCH_AGE_HEADER, b"%d" % age_ms),
+            (ERA_HEADER, b"%d" % self._source.era),
+        )
         _send(request, status, body, b"application/octet-stream", headers)
 
     async def _read_changes(self, request: HttpRequest) -> tuple[int, bytes]:
@@ -181,10 +185,13 @@
             return 404, b"{}"
         args = parse_qs(request.target.partition("?")[2])
         try:
-            after = int(args["after"][0])
+            revision = int(args["after"][0])
+            # Builds that don't name an era follow the one that they know.
+            era = int(args["era"][0]) if "era" in args else self._source.era
             wait_s = min(MAX_CHANGES_WAIT_S, float(args["wait_s"][0]))
         except (KeyError, ValueError):
             return 400, b"{}"
+        after = StorePosition(era=era, revision=revision)
         try:
             changes = await self._source.wait_for_changes(after=after, wait_s=wait_s)
         except RelayUnavailableError:
--- a/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
@@ -136,8 +136,8 @@
         return dict(
             config_version=config.version if config is not None else None,
             config_age_ms=to_ms(self.task.config_age_s()),
-            revision=self.fleet_state.revision,
-            era=self.task.era,
+            revision=self.fleet_state.position.revision,
+            era=self.fleet_state.position.era,
             source=self.source.source_name,
             unconfirmed_ms=to_ms(self.source.unconfirmed_s()),
             source_age_ms=to_ms(self.source.source_age_s),
--- a/packages/entry/src/borageramp_entry/_internal/store/base.py
+++ b/packages/entry/src/borageramp_entry/_internal/store/base.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from borageramp_core.routing import StorePosition
+
 __all__ = [
     "Change",
     "Commit",
@@ -53,6 +55,11 @@
     revision: int
     era: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history."""
+        return StorePosition(era=self.era, revision=self.revision)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Change:
@@ -76,6 +83,11 @@
     revision: int = 0
     era: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history."""
+        return StorePosition(era=self.era, revision=self.revision)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Condition:
--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -26,15 +26,15 @@
 
 
 @asynccontextmanager
-async def running_peer(tell: Tell) -> AsyncIterator[str]:
-    """Serve what a function tells; yield the address."""
+async def running_peer(tell: Tell, *, headers: str = "") -> AsyncIterator[str]:
+    """Serve what a function tells, with some headers; yield the address."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 status, body = await _answer(tell, head.split()[1].decode())
-                length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+                length = f"{headers}Content-Length: {len(body)}\r\n\r\n".encode()
                 writer.write(f"HTTP/1.1 {status} X\r\n".encode() + length + body)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from borageramp_core import HistoryLostError
-from borageramp_core.routing import Instance, RelayPlan, StateItem
+from borageramp_core.routing import Instance, RelayPlan, StateItem, StorePosition
 from borageramp_entry._internal.routed.change_source import (
+    ERA_HEADER,
     ChangeSource,
     RelayUnavailableError,
 )
@@ -82,18 +83,20 @@
         self._connected.add(place[1])
         await asyncio.sleep(self._fleet.link_delay_s)
         query = dict(p.split("=") for p in path.partition("?")[2].split("&"))
+        era = int(query["era"]) if self._fleet.names_era else peer.source.era
+        after = StorePosition(era=era, revision=int(query["after"]))
         try:
             body = await peer.source.wait_for_changes(
-                after=int(query["after"]), wait_s=float(query["wait_s"])
+                after=after, wait_s=float(query["wait_s"])
             )
         except RelayUnavailableError:
-            return _Response(503, b"")
+            return _Response(503, b"", peer.headers())
         except HistoryLostError:
-            return _Response(410, b"")
+            return _Response(410, b"", peer.headers())
         await asyncio.sleep(self._fleet.link_delay_s)
         if self._fleet.is_silent(peer.name):
             await asyncio.sleep(3600.0)
-        return _Response(200, body)
+        return _Response(200, body, peer.headers())
 
     def close(self) -> None:
         """Do nothing."""
@@ -103,6 +106,7 @@
     """An instance of the fleet: its registration, and what it knows."""
 
     def __init__(self, fleet: "SimulatedFleet", instance: Instance, seed: int) -> None:
+        self._fleet = fleet
         self.name = instance.name
         self.data_centre = instance.data_centre
         self.in_force: dict[object, float] = {}
@@ -170,6 +174,12 @@
         """Return the upstreams that the instance knows."""
         return {r.id for r in self.state_task.fleet_state.registrations()}
 
+    def headers(self) -> Headers:
+        """Return the headers of answers to instances that ask for changes."""
+        if not self._fleet.names_era:
+            return ()
+        return ((ERA_HEADER, b"%d" % self.source.era),)
+
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start what the instance runs."""
         return [
@@ -198,6 +208,8 @@
         Time that a request to another instance takes, and its answer.
     accepts_connections : bool
         Whether silent instances accept connections, like one that stands still.
+    names_era : bool
+        Whether instances name an era to each other, unlike builds before that.
     """
 
     def __init__(
@@ -212,6 +224,7 @@
         self.silent: set[str] = set()
         self.link_delay_s = LINK_DELAY_S
         self.accepts_connections = True
+        self.names_era = True
         places = [(dc, i) for dc, size in sizes.items() for i in range(size)]
         self.members = [
             FleetMember(
--- a/tests/lib/simulated_store.py
+++ b/tests/lib/simulated_store.py
@@ -200,6 +200,7 @@
         self._store = store
         self._watch_wait_s = watch_wait_s
         self._is_silent = is_silent
+        self.era = 0
 
     async def _call(self) -> None:
         self._store.calls += 1
@@ -210,12 +211,13 @@
             await asyncio.sleep(self._store.call_delay_s)
             if self._store.down:
                 raise StoreUnavailableError("down")
+        self.era = self._store.era
 
     async def read(self, prefix: str) -> Listing:
         self._store.reads += 1
         await self._call()
         items = tuple(i for k, i in self._store.items.items() if k.startswith(prefix))
-        return Listing(items=items, revision=self._store.revision)
+        return Listing(items=items, revision=self._store.revision, era=self.era)
 
     async def watch(self, prefix: str, *, from_revision: int) -> AsyncIterator[Change]:
         after = from_revision - 1
@@ -235,6 +237,7 @@
                 written=tuple(i for i in latest.values() if i is not None),
                 deleted=tuple(k for k, i in latest.items() if i is None),
                 revision=after,
+                era=self.era,
             )
 
     async def _wait_for_changes(self, *, after: int, wait_s: float) -> None:
--- a/tests/routed/test_relays.py
+++ b/tests/routed/test_relays.py
@@ -5,7 +5,7 @@
 import pytest
 
 from borageramp_core import HistoryLostError
-from borageramp_core.routing import Instance, RelayPlan
+from borageramp_core.routing import Instance, RelayPlan, StorePosition
 from borageramp_entry._internal.routed.change_log import (
     MAX_DECOMPRESSED_BYTES,
     ChangeLog,
@@ -70,7 +70,7 @@
 
 def test_the_log_returns_the_last_state_of_each_item() -> None:
     log = ChangeLog()
-    log.reset(10)
+    log.reset(StorePosition(revision=10))
     log.append(make_change(11, "a", "b"))
     log.append(make_change(13, "a", deleted=("b",)))
     log.append(make_change(15, "b"))
@@ -82,7 +82,7 @@
 
 def test_the_log_raises_for_revisions_that_it_no_longer_holds() -> None:
     log = ChangeLog()
-    log.reset(10)
+    log.reset(StorePosition(revision=10))
     with pytest.raises(HistoryLostError):
         log.since(9)
     for revision in range(11, 2000):
@@ -142,7 +142,7 @@
 
 def test_changes_are_encoded_once_until_the_next_change() -> None:
     log = ChangeLog()
-    log.reset(1)
+    log.reset(StorePosition(revision=1))
     log.append(make_change(2, "a"))
     first = log.encoded_since(1)
     assert log.encoded_since(1) is first
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -7,13 +7,15 @@
 
 import pytest
 
-from borageramp_core import StoreUnavailableError
-from borageramp_core.routing import RelayPlan
+from borageramp_core import HistoryLostError, StoreUnavailableError
+from borageramp_core.routing import RelayPlan, StorePosition
+from borageramp_entry._internal.routed.change_log import encode_change
 from borageramp_entry._internal.routed.change_source import (
     MAX_POLLING_INSTANCES,
     ChangeSource,
     RelayUnavailableError,
 )
+from borageramp_entry._internal.store.base import Change
 from borageramp_platform.store import KeyValueStore
 from tests.lib.peers import Tell, running_peer
 from tests.lib.platform_store import FakeStore, running_store
@@ -23,7 +25,9 @@
 class Follower:
     """A change source under test, and the keys of the changes received."""
 
-    def __init__(self, store: FakeStore, *, is_relay: bool, relays: list[str]) -> None:
+    def __init__(
+        self, store: FakeStore, *, is_relay: bool, relays: list[str], era: int
+    ) -> None:
         self.clock_offset_s = 0.0
         plan = RelayPlan(own=make_instance("own"))
         plan.is_relay = is_relay
@@ -41,18 +45,23 @@
             clock=lambda: asyncio.get_running_loop().time() + self.clock_offset_s,
         )
         self.received_keys: list[str] = []
-        self.from_revision = store.revision + 1
+        self.histories_lost = 0
+        self.after = StorePosition(era=era, revision=store.revision)
         self.source.on_contact()
         self._running = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
         while True:
-            with contextlib.suppress(StoreUnavailableError):
+            try:
                 await self._follow()
+            except HistoryLostError:
+                self.histories_lost += 1
+            except StoreUnavailableError:
+                pass
             await asyncio.sleep(0.05)
 
     async def _follow(self) -> None:
-        changes = self.source.watch(from_revision=self.from_revision)
+        changes = self.source.watch(after=self.after)
         async with contextlib.aclosing(changes):
             async for change in changes:
                 self.received_keys += [item.key for item in change.written]
@@ -71,9 +80,13 @@
 
 @contextlib.asynccontextmanager
 async def running_follower(
-    store: FakeStore, *, is_relay: bool = False, relays: list[str] | None = None
+    store: FakeStore,
+    *,
+    is_relay: bool = False,
+    relays: list[str] | None = None,
+    era: int = 0,
 ) -> AsyncIterator[Follower]:
-    follower = Follower(store, is_relay=is_relay, relays=relays or [])
+    follower = Follower(store, is_relay=is_relay, relays=relays or [], era=era)
     try:
         yield follower
     finally:
@@ -94,7 +107,8 @@
 
 def serve_changes_of(follower: Follower) -> Tell:
     async def tell(after: int, wait_s: float) -> bytes:
-        return await follower.source.wait_for_changes(after=after, wait_s=wait_s)
+        position = StorePosition(revision=after)
+        return await follower.source.wait_for_changes(after=position, wait_s=wait_s)
 
     return tell
 
@@ -171,11 +185,13 @@
         async with running_follower(store, is_relay=True) as relay:
             await asyncio.sleep(0.1)
             assert await relay.source.wait_for_changes(
-                after=store.revision, wait_s=0.01
+                after=StorePosition(revision=store.revision), wait_s=0.01
             )
             relay.clock_offset_s += 1.0
             with pytest.raises(RelayUnavailableError):
-                await relay.source.wait_for_changes(after=store.revision, wait_s=0.01)
+                await relay.source.wait_for_changes(
+                    after=StorePosition(revision=store.revision), wait_s=0.01
+                )
 
     run(test)
 
@@ -218,7 +234,7 @@
 
             async def ask() -> bytes:
                 return await relay.source.wait_for_changes(
-                    after=store.revision, wait_s=0.2
+                    after=StorePosition(revision=store.revision), wait_s=0.2
                 )
 
             asking = [
@@ -231,3 +247,45 @@
             assert await ask()
 
     run(test)
+
+
+# Guards against reading the store again and again for an era that only a relay names.
+@pytest.mark.parametrize("status", [200, 410])
+def test_an_era_that_the_store_does_not_name_is_believed_once(status: int) -> None:
+    async def tell(after: int, wait_s: float) -> bytes:
+        if status == 410:
+            raise HistoryLostError("no such revision")
+        await asyncio.sleep(wait_s)
+        return encode_change(Change(written=(), deleted=(), revision=after))
+
+    async def test(store: FakeStore) -> None:
+        async with (
+            running_peer(tell, headers="borageramp-era: 7\r\n") as address,
+            running_follower(store, relays=[address]) as follower,
+        ):
+            await asyncio.sleep(0.2)
+            store.put("a", b"1")
+            await follower.wait_until_received("a")
+            assert follower.histories_lost == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("era", "error"), [(1, HistoryLostError), (3, RelayUnavailableError)]
+)
+def test_a_relay_tells_nothing_to_instances_in_another_era(
+    era: int, error: type[Exception]
+) -> None:
+    async def test(store: FakeStore) -> None:
+        store.era = "2"
+        async with running_follower(store, is_relay=True, era=2) as relay:
+            await asyncio.sleep(0.1)
+            own = StorePosition(era=2, revision=store.revision)
+            assert await relay.source.wait_for_changes(after=own, wait_s=0.01)
+            with pytest.raises(error):
+                await relay.source.wait_for_changes(
+                    after=StorePosition(era=era, revision=1), wait_s=0.01
+                )
+
+    run(test)
--- a/tests/routed/test_store_restore.py
+++ b/tests/routed/test_store_restore.py
@@ -25,7 +25,9 @@
     return SimulatedFleet(sizes=instances, bounds=bounds, seed=seed)
 
 
-def late_after_restore(sizes: Sizes, restore: Restore, *, after_s: float) -> list[str]:
+def late_after_restore(
+    sizes: Sizes, restore: Restore, *, after_s: float, names_era: bool = True
+) -> list[str]:
     """Return the instances that have a configuration late.
 
     Parameters
@@ -36,10 +38,13 @@
         How the store comes back.
     after_s : float
         Time from then to the configuration.
+    names_era : bool
+        Whether instances name an era to each other.
     """
 
     async def run() -> list[str]:
         fleet = make_fleet(sizes, seed=2)
+        fleet.names_era = names_era
         async with fleet.running():
             writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
             await asyncio.sleep(0.1)
@@ -69,6 +74,16 @@
     assert late_after_restore(sizes, restore, after_s=after_s) == []
 
 
+# Guards against missing a restore while builds that name no era are replaced.
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_a_change_after_a_restore_is_in_force_in_time_beside_older_builds(
+    sizes: Sizes,
+) -> None:
+    restore = Restore(lost_revisions=6)
+    late = late_after_restore(sizes, restore, after_s=0.3, names_era=False)
+    assert late == []
+
+
 # Guards against instances that mix items of two histories.
 @pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
 def test_all_instances_know_the_same_upstreams_after_a_restore(sizes: Sizes) -> None:
