Register under a new lease after a restore of the store

An instance went on renewing the one it had, which may then be another instance's: its own registration ends with that one's, and its planned stop takes the other off the list.

A lease counts only in the era in which it was asked for. Instances register again within a second, each at a time of its own, once they follow a later era.

Measured: test_an_instance_registers_under_a_new_lease_after_a_restore failed in all three cases before (one lease in place of two) and passes now.

--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -54,6 +54,8 @@
         Source of changes after the initial read.
     on_change : callable
         Called after each change of the fleet state.
+    on_restored : callable, optional
+        Called once the fleet state follows a later era of the store.
     rng : random.Random
         Random number generator for the retry jitter.
     clock : callable
@@ -80,7 +82,9 @@
         on_change: Callable[[], None],
         rng: random.Random,
         clock: Callable[[], float],
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_restored = on_restored
         self.fleet_state = FleetState()
         self.initial_sync_done = False
         self.restores = 0
@@ -246,6 +250,7 @@
                 era_before=before.era,
                 revision_before=before.revision,
             )
+            self._on_restored()
         self.fleet_state.position = position
 
     async def _watch(self) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/routed/instance_registration.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/instance_registration.py
@@ -28,6 +28,8 @@
 # and slow calls.
 DETECTION_MARGIN_S = 0.7
 MIN_LEASE_S = 1.0
+# Time over which the instances of a fleet register again after a restore.
+RESTORE_SPREAD_S = 1.0
 
 
 def compute_lease_s(*, absence_s: float, gather_s: float) -> float:
@@ -86,6 +88,7 @@
         self._rng = rng
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._lease_id = 0
+        self._lease_era = 0
         self._registered = False
         self._seen_in_store = False
         self._wake = asyncio.Event()
@@ -135,13 +138,19 @@
             return False
         if self._lease_id and not await self._store.keep_lease(self._lease_id):
             self._lease_id = 0
-        if not self._lease_id:
-            self._registered = False
-            self._lease_id = await self._store.grant_lease(self._lease_s)
+        # A restored store gives identifiers of leases out again.
+        if not self._lease_id or self._lease_era != self._store.era:
+            await self._grant_lease()
         if not self._registered:
             await self._register()
         return True
 
+    async def _grant_lease(self) -> None:
+        self._registered = False
+        # The answer may be the first one of a later era.
+        self._lease_era = self._store.era
+        self._lease_id = await self._store.grant_lease(self._lease_s)
+
     async def _register(self) -> None:
         put = Put(
             key=instance_key(self._instance.name),
@@ -178,6 +187,11 @@
         """Renew without waiting for the interval."""
         self._wake.set()
 
+    def on_store_restored(self) -> None:
+        """Register again soon, spread over the fleet."""
+        delay_s = self._rng.random() * RESTORE_SPREAD_S
+        asyncio.get_running_loop().call_later(delay_s, self._wake.set)
+
     async def unregister(self) -> None:
         """Revoke the lease, which removes the registration."""
         if not self._lease_id:
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -10,6 +10,7 @@
 from borageramp_settings import StrictStruct
 
 __all__ = [
+    "INSTANCES_PREFIX",
     "instance_key",
     "encode_instance",
     "encode_suspect",
--- a/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
@@ -88,6 +88,7 @@
             rejoin_s=settings.rejoin_s,
             source=self.source,
             on_change=on_change,
+            on_restored=lambda: self.registration.on_store_restored(),
             rng=rng,
             clock=clock,
         )
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -19,7 +19,10 @@
     InstanceRegistrationTask,
     compute_lease_s,
 )
-from borageramp_entry._internal.routed.records import decode_record
+from borageramp_entry._internal.routed.records import (
+    INSTANCES_PREFIX,
+    decode_record,
+)
 from borageramp_entry._internal.serving.http_client import NotConnectedError
 from borageramp_entry._internal.serving.requests import Headers
 from borageramp_entry._internal.store.base import Item
@@ -136,6 +139,7 @@
             rejoin_s=fleet.settings.rejoin_s,
             source=self.source,
             on_change=self._on_change,
+            on_restored=lambda: self.registration.on_store_restored(),
             rng=self._rng,
             clock=_now_s,
         )
@@ -249,6 +253,10 @@
         """Return the instances that watch the store."""
         return [m for m in self.members if m.is_relay]
 
+    def registered_instances(self) -> int:
+        """Return how many instances are registered in the store."""
+        return sum(key.startswith(INSTANCES_PREFIX) for key in self.store.items)
+
     def configure(self, version: int) -> float:
         """Write a configuration; return the time of the acknowledgement."""
         self.store.put(CONFIG_KEY, as_bytes(config_document(version)))
--- a/tests/routed/test_listing.py
+++ b/tests/routed/test_listing.py
@@ -25,6 +25,9 @@
     def __init__(self) -> None:
         self.down = False
         self.calls = 0
+        self.era = 1
+        self.leases: list[int] = []
+        self.written_under: list[int] = []
 
     async def _call(self) -> None:
         self.calls += 1
@@ -33,6 +36,8 @@
 
     async def grant_lease(self, ttl_s: float) -> int:
         await self._call()
+        # A restored store gives identifiers out again.
+        self.leases.append(7)
         return 7
 
     async def keep_lease(self, lease_id: int) -> bool:
@@ -41,6 +46,7 @@
 
     async def commit(self, commits: Any) -> list[Any]:
         await self._call()
+        self.written_under += [put.lease_id for c in commits for put in c.puts]
         return []
 
 
@@ -69,6 +75,60 @@
     return run_simulated(run())
 
 
+def play_restore(*, during_call: str) -> tuple[list[int], list[int]]:
+    """Return the leases granted and those written under, with a restore between.
+
+    Parameters
+    ----------
+    during_call : str
+        Method of the store whose answer is the first in the new era.
+    """
+
+    class RestoredStore(Store):
+        async def _call(self) -> None:
+            await super()._call()
+            await asyncio.sleep(0.01)
+
+    async def run() -> tuple[list[int], list[int]]:
+        any_store: Any = RestoredStore()
+        registration_task = InstanceRegistrationTask(
+            store=any_store,
+            instance=make_instance(),
+            lease_s=1.0,
+            ready=lambda: True,
+            is_relay=lambda: False,
+            on_store_checked=lambda answered: None,
+            rng=random.Random(1),
+        )
+        original = getattr(any_store, during_call)
+
+        async def restore_and_answer(*args: Any) -> Any:
+            any_store.era = 2
+            return await original(*args)
+
+        if during_call != "keep_lease":
+            setattr(any_store, during_call, restore_and_answer)
+        task = asyncio.ensure_future(registration_task.run())
+        await asyncio.sleep(0.1)
+        if during_call == "keep_lease":
+            setattr(any_store, during_call, restore_and_answer)
+        await asyncio.sleep(1.5)
+        task.cancel()
+        return any_store.leases, any_store.written_under
+
+    return run_simulated(run())
+
+
+# Guards against renewing a lease that a restored store has given to another instance.
+@pytest.mark.parametrize("during_call", ["grant_lease", "commit", "keep_lease"])
+def test_an_instance_registers_under_a_new_lease_after_a_restore(
+    during_call: str,
+) -> None:
+    leases, written_under = play_restore(during_call=during_call)
+    assert len(leases) == 2
+    assert len(written_under) == 2
+
+
 @pytest.mark.parametrize("contact_s", [3.0, 4.0])
 @pytest.mark.parametrize("gather_s", [0.8, 1.2])
 def test_a_lease_lapses_in_time_for_the_directory(
--- a/tests/routed/test_store_restore.py
+++ b/tests/routed/test_store_restore.py
@@ -104,3 +104,28 @@
     known, registered = run_simulated(run())
     assert known == {frozenset(registered)}
     assert "joins" in registered and "leaves" not in registered
+
+
+# Guards against fleets that fall apart as the store has lost their registrations.
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_all_instances_are_registered_soon_after_a_restore(sizes: Sizes) -> None:
+    async def run() -> tuple[int, int, int]:
+        fleet = make_fleet(sizes)
+        empty = fleet.store.copy()
+        async with fleet.running():
+            fleet.store.down = True
+            await asyncio.sleep(0.5)
+            calls = fleet.store.calls
+            fleet.store.restore(empty)
+            fleet.store.down = False
+            await asyncio.sleep(CONTACT_S)
+            registered = fleet.registered_instances()
+            calls = fleet.store.calls - calls
+            await asyncio.sleep(SETTLE_S)
+            return registered, fleet.registered_instances(), calls
+
+    soon, later, calls = run_simulated(run())
+    count = sum(sizes[0].values())
+    assert (soon, later) == (count, count)
+    # A read, a lease and a registration each, and some watches and retries.
+    assert calls < 8 * count
