Keep what a restored store has lost until it is written again

An evacuation or an instance that the older copy lacks was dropped at once; an upstream that was leaving or gone was used again, as the copy says that it is ready.

Now a read in a later era keeps what it lacks for the time in which upstreams register again after an outage (2 s), and leaves out upstreams that are known to leave, or to be gone, in the same start. The log line of a restore says how many.

--- a/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
@@ -1,6 +1,7 @@
 """State of the fleet as read from the store; no change takes it back in time."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 from borageramp_core._internal.routing.model import (
     CrashSuspect,
@@ -15,6 +16,10 @@
 
 __all__ = ["FleetState"]
 
+# Time for which removed registrations are remembered: longer than a copy from which
+# a store is restored is old.
+REMOVAL_MEMORY_S = 60.0
+
 
 class FleetState:
     """Configuration and registrations from the store, by key.
@@ -35,10 +40,20 @@
         self.position = StorePosition()
         self._items: dict[str, StateItem] = {}
         self._missing_since_s: dict[str, float] = {}
+        # Time of removal and start of registrations, by key, the oldest first.
+        self._removed: dict[str, tuple[float, int]] = {}
+        # Registrations of a restored store that seem to be gone, and since when.
+        self._doubted: dict[str, tuple[float, Registration]] = {}
+
+    def get(self, key: str) -> StateItem | None:
+        """Return an item other than the configuration."""
+        return self._items.get(key)
 
     def put(self, key: str, state_item: StateItem) -> bool:
         """Add or replace an item; return whether anything changed."""
         self._missing_since_s.pop(key, None)
+        self._doubted.pop(key, None)
+        self._removed.pop(key, None)
         if isinstance(state_item, RoutingConfig):
             return self._put_config(state_item)
         previous = self._items.get(key)
@@ -53,18 +68,41 @@
         self.table = RouteTable(config.routes)
         return True
 
-    def remove(self, key: str) -> bool:
+    def remove(self, key: str, *, now_s: float) -> bool:
         """Remove an item; return whether it existed."""
         self._missing_since_s.pop(key, None)
-        return self._items.pop(key, None) is not None
+        self._doubted.pop(key, None)
+        removed = self._items.pop(key, None)
+        if isinstance(removed, Registration):
+            self._remember_removed(key, removed, now_s=now_s)
+        return removed is not None
+
+    def _remember_removed(self, key: str, item: Registration, *, now_s: float) -> None:
+        self._removed.pop(key, None)
+        self._removed[key] = (now_s, item.started_ms)
+        for old_key, (removed_at_s, _) in list(self._removed.items()):
+            if now_s - removed_at_s < REMOVAL_MEMORY_S:
+                break
+            del self._removed[old_key]
 
     def replace(
-        self, state_items: Mapping[str, StateItem], *, after_outage: bool, now_s: float
+        self,
+        state_items: Mapping[str, StateItem],
+        *,
+        after_outage: bool,
+        restored: bool = False,
+        now_s: float,
     ) -> None:
         """Replace all items by a full listing of the store.
 
         The configuration stays in force if the listing has none.
 
+        A restored store says of some items what they were at the time of its copy,
+        until they are written again. Those that it has lost are kept for a while,
+        upstreams that were leaving go on to do so, and those that were gone are not
+        used until :meth:`release_doubted`. Evacuations that had ended count again
+        until the store says that they have ended.
+
         Parameters
         ----------
         state_items : mapping of str to StateItem
@@ -73,14 +111,53 @@
             Whether registrations may have expired while the store was
             unavailable. Missing ones are then kept for a while, as their
             upstreams are about to register again.
+        restored : bool
+            Whether the store has come back from an older copy since.
         now_s : float
             Present time.
         """
         for key in [k for k in self._items if k not in state_items]:
-            if not after_outage or not self.retain_missing(key, now_s=now_s):
-                self.remove(key)
+            if restored:
+                self._missing_since_s.setdefault(key, now_s)
+            elif not after_outage or not self.retain_missing(key, now_s=now_s):
+                self.remove(key, now_s=now_s)
         for key, state_item in state_items.items():
-            self.put(key, state_item)
+            if restored and isinstance(state_item, Registration):
+                self._put_restored(key, state_item, now_s=now_s)
+            else:
+                self.put(key, state_item)
+
+    def _put_restored(self, key: str, item: Registration, *, now_s: float) -> None:
+        """Put a registration that may be older than what is known of it."""
+        known = self._items.get(key)
+        removed_at_s, removed_start_ms = self._removed.get(key, (float("-inf"), -1))
+        if isinstance(known, Registration) and known.started_ms == item.started_ms:
+            self.put(key, replace(item, leaving=item.leaving or known.leaving))
+        elif (
+            removed_start_ms == item.started_ms
+            and now_s - removed_at_s < REMOVAL_MEMORY_S
+        ):
+            self.put(key, replace(item, leaving=True))
+            self._doubted[key] = (now_s, item)
+        else:
+            self.put(key, item)
+
+    def release_doubted(self, *, older_than_s: float, now_s: float) -> bool:
+        """Use registrations that a restored store still has after some time.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        due = {
+            key: item
+            for key, (since_s, item) in self._doubted.items()
+            if now_s - since_s >= older_than_s
+        }
+        for key, item in due.items():
+            self.put(key, item)
+        return bool(due)
 
     def retain_missing(self, key: str, *, now_s: float) -> bool:
         """Keep an expired registration until :meth:`drop_missing` removes it.
@@ -88,24 +165,34 @@
         Returns
         -------
         bool
-            Whether the item is a registration; other items are not kept.
+            Whether the item is a registration, and not doubted; others are not kept.
         """
-        if not isinstance(self._items.get(key), Registration):
+        if not isinstance(self._items.get(key), Registration) or key in self._doubted:
             return False
         self._missing_since_s.setdefault(key, now_s)
         return True
 
     def drop_missing(self, *, older_than_s: float, now_s: float) -> list[str]:
-        """Drop registrations that were not renewed in time; return their keys."""
+        """Drop items that were not written again in time; return their keys."""
         gone = [
             key
             for key, since_s in self._missing_since_s.items()
             if now_s - since_s >= older_than_s
         ]
         for key in gone:
-            self.remove(key)
+            self.remove(key, now_s=now_s)
         return gone
 
+    @property
+    def missing_count(self) -> int:
+        """Items that the store lacks and that are kept for a while."""
+        return len(self._missing_since_s)
+
+    @property
+    def doubted_count(self) -> int:
+        """Upstreams of a restored store that seem to be gone."""
+        return len(self._doubted)
+
     def registrations(self) -> Iterable[Registration]:
         """Return the registrations of upstreams."""
         return (f for f in self._items.values() if isinstance(f, Registration))
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -221,11 +221,17 @@
             state_item = self._parse_item(item)
             if state_item is not None:
                 state_items[item.key] = state_item
+        restored = 0 < self.fleet_state.position.era < listing.era
+        if restored:
+            self._recovered_at_s = self._clock()
         self.fleet_state.replace(
-            state_items, after_outage=self._within_rejoin_window(), now_s=self._clock()
+            state_items,
+            after_outage=self._within_rejoin_window(),
+            restored=restored,
+            now_s=self._clock(),
         )
         self._schedule_drop_missing()
-        self._move_to(listing.position)
+        self._move_to(listing.position, restored=restored)
         self._synced = True
         self.initial_sync_done = True
         _log.info(
@@ -236,12 +242,12 @@
         )
         self._on_state_changed()
 
-    def _move_to(self, position: StorePosition) -> None:
+    def _move_to(self, position: StorePosition, *, restored: bool) -> None:
         """Go on from a position at which all items have been read."""
         before = self.fleet_state.position
         if position.era != before.era:
             self._malformed_revisions.clear()
-        if before.era and position.era > before.era:
+        if restored:
             self.restores += 1
             _log.warning(
                 "store restored",
@@ -249,6 +255,8 @@
                 revision=position.revision,
                 era_before=before.era,
                 revision_before=before.revision,
+                kept=self.fleet_state.missing_count,
+                doubted=self.fleet_state.doubted_count,
             )
             self._on_restored()
         self.fleet_state.position = position
@@ -280,13 +288,16 @@
         loop.call_later(self._rejoin_s + TIMER_SLACK_S, self._drop_missing)
 
     def _drop_missing(self) -> None:
-        """Remove upstreams that did not register again after an outage."""
+        """Remove items that were not written again, and end doubts on others."""
+        released = self.fleet_state.release_doubted(
+            older_than_s=self._rejoin_s, now_s=self._clock()
+        )
         dropped_keys = self.fleet_state.drop_missing(
             older_than_s=self._rejoin_s, now_s=self._clock()
         )
         for key in dropped_keys:
-            _log.info("upstream gone", key=key, why="not registered again")
-        if dropped_keys:
+            _log.info("item removed", key=key, why="not written again")
+        if dropped_keys or released:
             self._on_state_changed()
 
     def _apply_write(self, item: Item, state_item: StateItem) -> bool:
@@ -307,7 +318,7 @@
             self._schedule_drop_missing()
             return False
         self._malformed_revisions.pop(key, None)
-        removed = self.fleet_state.remove(key)
+        removed = self.fleet_state.remove(key, now_s=self._clock())
         if removed:
             revision = self.fleet_state.position.revision
             _log.info("item removed", key=key, revision=revision)
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -178,6 +178,15 @@
         """Return the upstreams that the instance knows."""
         return {r.id for r in self.state_task.fleet_state.registrations()}
 
+    def evacuated_data_centres(self) -> frozenset[str]:
+        """Return the data centres that the instance doesn't use."""
+        return self.state_task.fleet_state.evacuated_data_centres()
+
+    def usable_upstreams(self) -> set[str]:
+        """Return the upstreams that the instance knows and that aren't leaving."""
+        registrations = self.state_task.fleet_state.registrations()
+        return {r.id for r in registrations if not r.leaving}
+
     def headers(self) -> Headers:
         """Return the headers of answers to instances that ask for changes."""
         if not self._fleet.names_era:
@@ -267,9 +276,12 @@
         self.store.put(EVACUATION_PREFIX + data_centre, b"{}")
         return _now_s()
 
-    def register_upstream(self, name: str) -> None:
+    def register_upstream(self, name: str, *, leaving: bool = False) -> None:
         """Write the registration of an upstream."""
-        self.store.put(UPSTREAMS_PREFIX + name, as_bytes(upstream_document()))
+        state = "draining" if leaving else "ready"
+        status = {"state": state, "seq": 1, "slow_start_s_time": 0}
+        document = upstream_document(status=status)
+        self.store.put(UPSTREAMS_PREFIX + name, as_bytes(document))
 
     def upstream_names(self) -> set[str]:
         """Return the upstreams that are registered."""
--- a/tests/routed/test_store_restore.py
+++ b/tests/routed/test_store_restore.py
@@ -1,10 +1,11 @@
 """Fleets whose store comes back from an older copy, with revisions given out again."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
-from tests.lib.simulated_fleet import SimulatedFleet
+from tests.lib.simulated_fleet import FleetMember, SimulatedFleet
 from tests.lib.simulated_time import run_simulated
 from tests.lib.store_restore import Restore, restore_store, writing_upstreams
 
@@ -129,3 +130,72 @@
     assert (soon, later) == (count, count)
     # A read, a lease and a registration each, and some watches and retries.
     assert calls < 8 * count
+
+
+async def count_instances(
+    fleet: SimulatedFleet, holds: Callable[[FleetMember], bool], *, for_s: float
+) -> int:
+    """Return for how many instances something ever held in a time."""
+    seen: set[str] = set()
+    for _ in range(int(for_s / 0.05)):
+        seen |= {m.name for m in fleet.members if holds(m)}
+        await asyncio.sleep(0.05)
+    return len(seen)
+
+
+# Guards against using a data centre that is being emptied, until operators write that
+# again.
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_an_evacuation_that_a_restored_store_has_lost_stays_in_force(
+    sizes: Sizes,
+) -> None:
+    async def run() -> tuple[int, int]:
+        fleet = make_fleet(sizes)
+        async with fleet.running():
+            copy = fleet.store.copy()
+            fleet.evacuate("a")
+            await asyncio.sleep(2.0)
+            fleet.store.restore(copy)
+
+            def uses(member: FleetMember) -> bool:
+                return "a" not in member.evacuated_data_centres()
+
+            used = await count_instances(fleet, uses, for_s=1.5)
+            fleet.evacuate("a")
+            used += await count_instances(fleet, uses, for_s=4.0)
+            fleet.store.remove("op/evacuate/a")
+            await asyncio.sleep(3.0)
+            return used, sum(uses(m) for m in fleet.members)
+
+    assert run_simulated(run()) == (0, sum(sizes[0].values()))
+
+
+# Guards against requests to upstreams that leave or are gone, as an older copy of the
+# store says otherwise.
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_upstreams_that_left_before_a_restore_are_not_used_after_it(
+    sizes: Sizes,
+) -> None:
+    async def run() -> tuple[int, set[frozenset[str]]]:
+        fleet = make_fleet(sizes)
+        for name in ("leaving", "gone", "stays"):
+            fleet.register_upstream(name)
+        async with fleet.running():
+            copy = fleet.store.copy()
+            fleet.register_upstream("leaving", leaving=True)
+            fleet.remove_upstream("gone")
+            await asyncio.sleep(2.0)
+            fleet.store.restore(copy)
+
+            def uses(member: FleetMember) -> bool:
+                return bool(member.usable_upstreams() - {"stays"})
+
+            used = await count_instances(fleet, uses, for_s=1.5)
+            fleet.register_upstream("leaving", leaving=True)
+            fleet.remove_upstream("gone")
+            used += await count_instances(fleet, uses, for_s=4.0)
+            return used, {frozenset(m.upstream_names()) for m in fleet.members}
+
+    used, known = run_simulated(run())
+    assert used == 0
+    assert known == {frozenset({"leaving", "stays"})}
