--- a/tests/routed/test_store_client.py
+++ b/tests/routed/test_store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 
@@ -223,3 +224,24 @@
         assert (await late).era == 3
 
     with_store(test)
+
+
+# Guards against a list of items of which some are of a history that the store has lost.
+def test_pages_of_two_histories_are_not_one_list() -> None:
+    async def test(fake: FakeStore, client: KeyValueStore) -> None:
+        fake.era = "1"
+        for i in range(8):
+            fake.put(f"servers/{i}", b"x")
+        answer = fake.answer
+
+        async def restore_after_first_page(*args: Any) -> tuple[int, Any]:
+            if len(fake.calls) == 2:
+                fake.era = "2"
+            return await answer(*args)
+
+        fake.answer = restore_after_first_page  # type: ignore[method-assign]
+        with pytest.raises(StoreUnavailableError):
+            await client.read("servers/")
+        assert (await client.read("servers/")).era == 2
+
+    with_store(test)
