--- a/tests/routed/test_store_client.py
+++ b/tests/routed/test_store_client.py
@@ -232,6 +232,7 @@
         fake.era = "1"
         for i in range(8):
             fake.put(f"servers/{i}", b"x")
+        any_fake: Any = fake
         answer = fake.answer
 
         async def restore_after_first_page(*args: Any) -> tuple[int, Any]:
@@ -239,7 +240,7 @@
                 fake.era = "2"
             return await answer(*args)
 
-        fake.answer = restore_after_first_page  # type: ignore[method-assign]
+        any_fake.answer = restore_after_first_page
         with pytest.raises(StoreUnavailableError):
             await client.read("servers/")
         assert (await client.read("servers/")).era == 2
