Move the messages between an instance and its relay into a module of their own

The query and headers were written and read in three places, and their names stood in the source of changes. No behaviour changes.

--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -24,6 +24,11 @@
     MalformedChangeError,
     decode_change,
 )
+from borageramp_entry._internal.routed.relay_messages import (
+    RelayState,
+    decode_state,
+    encode_query,
+)
 from borageramp_entry._internal.serving.http_client import (
     HttpClient,
     NotConnectedError,
@@ -32,18 +37,10 @@
 from borageramp_entry._internal.serving.requests import Headers
 from borageramp_entry._internal.store.base import Change, Store
 
-__all__ = [
-    "CHANGES_PATH",
-    "ERA_HEADER",
-    "WATCH_AGE_HEADER",
-    "ChangeSource",
-    "PeerClient",
-    "RelayUnavailableError",
-]
+__all__ = ["ChangeSource", "PeerClient", "RelayUnavailableError"]
 
 _log = get_logger(__name__)
 
-CHANGES_PATH = "/changes"
 # Long-poll wait of a request to a relay; short, so that an unresponsive relay is
 # detected in time.
 POLL_WAIT_S = 0.4
@@ -57,12 +54,7 @@
 MAX_POLLING_INSTANCES = 48
 IDLE_TIMEOUT_S = 5.0
 STATUS_OK = 200
-MAX_DIGITS = 18
 STORE_NAME = "store"
-# Header with the age of a relay's own knowledge, in milliseconds.
-WATCH_AGE_HEADER = "borageramp-watch-age-ms"
-# Header with the history of the store that a relay follows.
-ERA_HEADER = "borageramp-era"
 
 
 class RelayUnavailableError(Exception):
@@ -200,10 +192,9 @@
         self._selector.on_renewal(answered=answered, now_s=self._clock())
 
     def _check_relay_era(
-        self, relay: Instance, headers: Headers, after: StorePosition
+        self, relay: Instance, era: int | None, after: StorePosition
     ) -> None:
         # Builds that name no era can't tell of a new one; lease renewals do.
-        era = _read_number(headers, ERA_HEADER)
         if era is None or era <= after.era:
             return
         detail = f"{relay.name} follows the store in era {era}"
@@ -214,7 +205,12 @@
         raise HistoryLostError(detail)
 
     @property
-    def era(self) -> int:
+    def relay_state(self) -> RelayState:
+        """What this instance says of itself to those that ask it for changes."""
+        return RelayState(era=self._era, watch_age_s=self.watch_age_s())
+
+    @property
+    def _era(self) -> int:
         """History of the store that this instance serves changes of."""
         return self._change_log.position.era
 
@@ -309,24 +305,22 @@
         self, relay: Instance, after: StorePosition, *, wait_s: float
     ) -> Change:
         assert relay.peer_address is not None
-        query = f"after={after.revision}&wait_s={wait_s}&era={after.era}"
-        path = f"{CHANGES_PATH}?{query}"
         try:
             async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
                 response = await self._peers.request(
                     split_address(relay.peer_address),
                     "GET",
-                    path,
+                    encode_query(after, wait_s=wait_s),
                     connect_timeout_s=RESPONSE_TIMEOUT_S,
                 )
                 body = await response.read_all()
         except (NotConnectedError, BrokenExchangeError, TimeoutError) as error:
             raise RelayUnavailableError(repr(error)) from error
-        self._check_relay_era(relay, response.headers, after)
+        state = decode_state(response.headers)
+        self._check_relay_era(relay, state.era, after)
         if response.status != STATUS_OK:
             raise RelayUnavailableError(f"status {response.status}")
-        watch_age_ms = _read_number(response.headers, WATCH_AGE_HEADER)
-        self.source_age_s = None if watch_age_ms is None else watch_age_ms / 1000
+        self.source_age_s = state.watch_age_s
         try:
             return replace(decode_change(body), era=after.era)
         except MalformedChangeError as error:
@@ -366,10 +360,10 @@
         return self._change_log.encoded_since(after.revision)
 
     def _check_era(self, after: StorePosition) -> None:
-        if after.era < self.era:
-            raise HistoryLostError(f"the store is in era {self.era}")
-        if after.era > self.era:
-            raise RelayUnavailableError(f"this instance follows era {self.era}")
+        if after.era < self._era:
+            raise HistoryLostError(f"the store is in era {self._era}")
+        if after.era > self._era:
+            raise RelayUnavailableError(f"this instance follows era {self._era}")
 
     def _check_contact(self) -> None:
         if not self._watching_store:
@@ -380,9 +374,3 @@
     def close(self) -> None:
         """Close the connections to relays."""
         self._peers.close()
-
-
-def _read_number(headers: Headers, name: str) -> int | None:
-    """Return the number in a header; ``None`` if there is none."""
-    value = next((v for key, v in headers if key == name), b"")
-    return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else None
--- a/packages/entry/src/borageramp_entry/_internal/routed/resources.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/resources.py
@@ -6,17 +6,19 @@
 from urllib.parse import parse_qs
 
 from borageramp_core import HistoryLostError
-from borageramp_core.routing import Instance, StorePosition
+from borageramp_core.routing import Instance
 from borageramp_entry._internal.border.server import HttpRequest
 from borageramp_entry._internal.routed.change_source import (
-    CHANGES_PATH,
-    ERA_HEADER,
-    WATCH_AGE_HEADER,
     ChangeSource,
     RelayUnavailableError,
 )
 from borageramp_entry._internal.routed.instance_directory import InstanceDirectory
 from borageramp_entry._internal.routed.interfaces import DirectoryDialect
+from borageramp_entry._internal.routed.relay_messages import (
+    CHANGES_PATH,
+    decode_query,
+    encode_state,
+)
 from borageramp_entry._internal.serving.requests import Headers
 
 if TYPE_CHECKING:
@@ -173,27 +175,22 @@
     async def serve(self, request: HttpRequest) -> None:
         """Handle a request and send its response."""
         status, body = await self._read_changes(request)
-        age_ms = round(self._source.watch_age_s() * 1000)
-        headers = (
-            (WATCH_AGE_HEADER, b"%d" % age_ms),
-            (ERA_HEADER, b"%d" % self._source.era),
-        )
+        headers = encode_state(self._source.relay_state)
         _send(request, status, body, b"application/octet-stream", headers)
 
     async def _read_changes(self, request: HttpRequest) -> tuple[int, bytes]:
         if request.path != CHANGES_PATH:
             return 404, b"{}"
         args = parse_qs(request.target.partition("?")[2])
+        own_era = self._source.relay_state.era or 0
         try:
-            revision = int(args["after"][0])
-            # Builds that don't name an era follow the one that they know.
-            era = int(args["era"][0]) if "era" in args else self._source.era
-            wait_s = min(MAX_CHANGES_WAIT_S, float(args["wait_s"][0]))
+            after, wait_s = decode_query(args, own_era=own_era)
         except (KeyError, ValueError):
             return 400, b"{}"
-        after = StorePosition(era=era, revision=revision)
         try:
-            changes = await self._source.wait_for_changes(after=after, wait_s=wait_s)
+            changes = await self._source.wait_for_changes(
+                after=after, wait_s=min(MAX_CHANGES_WAIT_S, wait_s)
+            )
         except RelayUnavailableError:
             return 503, b"{}"
         except HistoryLostError:
--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -6,11 +6,11 @@
 import random
 from collections.abc import AsyncIterator
 from typing import Any
+from urllib.parse import parse_qs
 
 from borageramp_core import HistoryLostError
-from borageramp_core.routing import Instance, RelayPlan, StateItem, StorePosition
+from borageramp_core.routing import Instance, RelayPlan, StateItem
 from borageramp_entry._internal.routed.change_source import (
-    ERA_HEADER,
     ChangeSource,
     RelayUnavailableError,
 )
@@ -23,6 +23,7 @@
     INSTANCES_PREFIX,
     decode_record,
 )
+from borageramp_entry._internal.routed.relay_messages import decode_query, encode_state
 from borageramp_entry._internal.serving.http_client import NotConnectedError
 from borageramp_entry._internal.serving.requests import Headers
 from borageramp_entry._internal.store.base import Item
@@ -85,13 +86,12 @@
             await asyncio.sleep(3600.0)
         self._connected.add(place[1])
         await asyncio.sleep(self._fleet.link_delay_s)
-        query = dict(p.split("=") for p in path.partition("?")[2].split("&"))
-        era = int(query["era"]) if self._fleet.names_era else peer.source.era
-        after = StorePosition(era=era, revision=int(query["after"]))
+        args = parse_qs(path.partition("?")[2])
+        if not self._fleet.names_era:
+            del args["era"]
+        after, wait_s = decode_query(args, own_era=peer.source.relay_state.era or 0)
         try:
-            body = await peer.source.wait_for_changes(
-                after=after, wait_s=float(query["wait_s"])
-            )
+            body = await peer.source.wait_for_changes(after=after, wait_s=wait_s)
         except RelayUnavailableError:
             return _Response(503, b"", peer.headers())
         except HistoryLostError:
@@ -189,9 +189,7 @@
 
     def headers(self) -> Headers:
         """Return the headers of answers to instances that ask for changes."""
-        if not self._fleet.names_era:
-            return ()
-        return ((ERA_HEADER, b"%d" % self.source.era),)
+        return encode_state(self.source.relay_state) if self._fleet.names_era else ()
 
     def tasks(self) -> list[asyncio.Task[None]]:
         """Start what the instance runs."""
