Take no news from relays that are behind or whose watch is not answered

One that was behind the instance that asked said 'nothing new' for good; a watch that was begun anew, after one that nobody answered, passed for one that tells of all changes, as lease renewals were answered.

Now an answer from an earlier position confirms nothing, so that the store is asked after 0.8 s; a relay tells nothing before its watch was answered, unless it knew everything within the last 0.9 s (a full read counts).

Measured: both new tests failed before (an instance behind such a relay never got the change; a relay served 3.47 s into a silence of its watch, now less than 2.2 s). The tests' follower records that it starts from what was read, as the fleet state does.

--- a/packages/core/src/borageramp_core/_internal/routing/source_selector.py
+++ b/packages/core/src/borageramp_core/_internal/routing/source_selector.py
@@ -118,6 +118,10 @@
         self._relay_failures.pop(relay.name, None)
         self._relay_backoff_until_s.pop(relay.name, None)
 
+    def on_relay_behind(self, relay: Instance) -> None:
+        """Record that a relay answered, and knows less than this instance."""
+        self._settled_relay = relay.name
+
     def on_relay_failed(self, relay: Instance, *, now_s: float) -> None:
         """Record that a relay gave no answer, or has no changes to tell."""
         failures = self._relay_failures.get(relay.name, 0)
--- a/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_source.py
@@ -153,6 +153,8 @@
         self.answer_gap_s = 0.0
         self.source_age_s: float | None = 0.0
         self._watch_answered_at_s = clock()
+        self._watch_confirmed = False
+        self._complete_at_s = float("-inf")
         self._selector = SourceSelector(plan=plan, rng=rng, now_s=clock())
 
     @property
@@ -187,6 +189,10 @@
         """Record a response from the store."""
         self._last_contact_at_s = self._clock()
 
+    def on_full_read(self) -> None:
+        """Record that all items of the store have been read."""
+        self._complete_at_s = self._clock()
+
     def on_renewal(self, *, answered: bool) -> None:
         """Record whether the store answered a lease renewal."""
         self._selector.on_renewal(answered=answered, now_s=self._clock())
@@ -247,6 +253,8 @@
         self._change_log.reset(after)
         self._watching_store = True
         self._watch_answered_at_s = self._clock()
+        complete_age_s = self._clock() - self._complete_at_s
+        self._watch_confirmed = complete_age_s <= MAX_CONTACT_AGE_S
         self._on_watch_started()
         try:
             async for change in self._store.watch(
@@ -257,7 +265,8 @@
                 self.on_contact()
                 self._on_answer(STORE_NAME)
                 self.source_age_s = 0.0
-                self._watch_answered_at_s = self._clock()
+                self._watch_answered_at_s = self._complete_at_s = self._clock()
+                self._watch_confirmed = True
                 self._selector.on_store_answer(now_s=self._clock())
                 self._change_log.append(change)
                 yield change
@@ -297,7 +306,11 @@
                 unconfirmed_ms=round(self.unconfirmed_s() * 1000),
             )
             return
+        if change.position < after:
+            self._selector.on_relay_behind(relay)
+            return
         self._on_answer(relay.name)
+        self._complete_at_s = self._clock()
         self._selector.on_relay_answer(relay, now_s=self._clock())
         yield change
 
@@ -368,6 +381,8 @@
     def _check_contact(self) -> None:
         if not self._watching_store:
             raise RelayUnavailableError("this instance does not watch the store")
+        if not self._watch_confirmed:
+            raise RelayUnavailableError("the watch has not been answered yet")
         if self._clock() - self._last_contact_at_s > MAX_CONTACT_AGE_S:
             raise RelayUnavailableError("no contact with the store")
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -233,6 +233,7 @@
         self._schedule_drop_missing()
         self._move_to(listing.position, restored=restored)
         self._synced = True
+        self._source.on_full_read()
         self.initial_sync_done = True
         _log.info(
             "store read",
--- a/tests/routed/test_source.py
+++ b/tests/routed/test_source.py
@@ -16,7 +16,7 @@
     RelayUnavailableError,
 )
 from borageramp_entry._internal.store.base import Change
-from borageramp_platform.store import KeyValueStore
+from borageramp_platform.store import FIRST_WAIT_S, WATCH_TIMEOUT_S, KeyValueStore
 from tests.lib.peers import Tell, running_peer
 from tests.lib.platform_store import FakeStore, running_store
 from tests.lib.routed import make_instance
@@ -48,6 +48,7 @@
         self.histories_lost = 0
         self.after = StorePosition(era=era, revision=store.revision)
         self.source.on_contact()
+        self.source.on_full_read()
         self._running = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
@@ -289,3 +290,48 @@
                 )
 
     run(test)
+
+
+# Guards against relays that know less than those who ask them and say "nothing new".
+def test_a_relay_that_is_behind_does_not_keep_an_instance_from_the_store() -> None:
+    async def tell(after: int, wait_s: float) -> bytes:
+        await asyncio.sleep(wait_s)
+        return encode_change(Change(written=(), deleted=(), revision=after - 1))
+
+    async def test(store: FakeStore) -> None:
+        async with (
+            running_peer(tell) as address,
+            running_follower(store, relays=[address]) as follower,
+        ):
+            await asyncio.sleep(0.2)
+            store.put("a", b"1")
+            async with asyncio.timeout(2.0):
+                await follower.wait_until_received("a")
+
+    run(test)
+
+
+# Guards against a watch that is begun anew, and not answered either, passing for one
+# that tells of all changes.
+def test_a_relay_whose_watch_failed_tells_nothing_until_the_next_is_answered() -> None:
+    async def test(store: FakeStore) -> None:
+        async with running_follower(store, is_relay=True) as relay:
+            await asyncio.sleep(0.1)
+            store.fault = "unheard"
+            served_after_s: list[float] = []
+            loop = asyncio.get_running_loop()
+            began_at_s = loop.time()
+            while loop.time() < began_at_s + 4.0:
+                relay.source.on_contact()
+                with contextlib.suppress(RelayUnavailableError):
+                    await relay.source.wait_for_changes(after=relay.after, wait_s=0.01)
+                    served_after_s.append(loop.time() - began_at_s)
+                await asyncio.sleep(0.05)
+            # The watch that waits now may be answered, after FIRST_WAIT_S at most; the
+            # next waits for 1 s, and WATCH_TIMEOUT_S more for its answer.
+            assert max(served_after_s) < FIRST_WAIT_S + 1.0 + WATCH_TIMEOUT_S
+            store.fault = ""
+            await asyncio.sleep(2.5)
+            assert await relay.source.wait_for_changes(after=relay.after, wait_s=0.01)
+
+    run(test)
