Give up a read of the store that hangs once a lease renewal is answered

A renewal that was answered while that read hung was forgotten when the read failed, and the whole delay waited. Watches were given up in that case, reads were not.

Now both are, and a renewal that succeeded during the failed call counts.

Measured: test_a_read_that_hangs_is_restarted_when_the_store_answers_again failed before (not within 1 s), and passes with the other tests of the file.

--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -105,7 +105,7 @@
         self._renewal_failing = False
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._store_recovered = asyncio.Event()
-        self._watch_task: asyncio.Task[None] | None = None
+        self._follow_task: asyncio.Task[None] | None = None
         self._malformed_revisions: dict[str, int] = {}
 
     def age_s(self) -> float:
@@ -127,9 +127,8 @@
         """Read and watch the store until cancelled."""
         while True:
             try:
-                if not self._synced:
-                    await self._read_full_state()
-                await self._watch_until_restarted()
+                self._store_recovered.clear()
+                await self._follow_until_restarted()
             except HistoryLostError as error:
                 self._log_store("store history lost", error=str(error))
                 self._synced = False
@@ -145,9 +144,10 @@
     async def _wait_before_retry(self) -> None:
         """Wait for the retry delay or until a lease renewal succeeds.
 
+        One that succeeded during the failed call counts too.
+
         Only the store has all items; changes come from relays as well.
         """
-        self._store_recovered.clear()
         delay_s = self._retry_delay_s * (1.0 + self._rng.random())
         self._retry_delay_s = min(MAX_RETRY_DELAY_S, 2.0 * self._retry_delay_s)
         if self._renewal_failing:
@@ -168,26 +168,32 @@
             if self._renewal_failing:
                 self._renewal_failing = False
                 self._store_recovered.set()
-                self._restart_watch()
-            if self._store.era > self.fleet_state.position.era:
+                self._restart()
+            if self._synced and self._store.era > self.fleet_state.position.era:
                 self._synced = False
-                self._restart_watch()
+                self._restart()
             return
         self._renewal_failing = True
         self._on_failure(StoreUnavailableError("lease renewal failed"))
 
-    def _restart_watch(self) -> None:
-        if self._watch_task is not None:
-            self._watch_task.cancel()
+    def _restart(self) -> None:
+        """Give up the call under way, which may hang since before an outage."""
+        if self._follow_task is not None:
+            self._follow_task.cancel()
 
-    async def _watch_until_restarted(self) -> None:
-        self._watch_task = asyncio.ensure_future(self._watch())
+    async def _follow_until_restarted(self) -> None:
+        self._follow_task = asyncio.ensure_future(self._follow())
         try:
-            await asyncio.wait([self._watch_task])
+            await asyncio.wait([self._follow_task])
         finally:
-            self._watch_task.cancel()
-        if not self._watch_task.cancelled():
-            self._watch_task.result()
+            self._follow_task.cancel()
+        if not self._follow_task.cancelled():
+            self._follow_task.result()
+
+    async def _follow(self) -> None:
+        if not self._synced:
+            await self._read_full_state()
+        await self._watch()
 
     def _on_failure(self, error: StoreError) -> None:
         if self._reachable:
--- a/tests/routed/test_fleet_state_task.py
+++ b/tests/routed/test_fleet_state_task.py
@@ -164,3 +164,20 @@
         await wait_until(lambda: config_version(task) == 4)
 
     run_with_task(test)
+
+
+# Guards against waiting for a call from before an outage, and its delay, after it.
+def test_a_read_that_hangs_is_restarted_when_the_store_answers_again() -> None:
+    async def test(fake: FakeStore, task: FleetStateTask) -> None:
+        fake.fault = "silent"
+        fake.revision += 1
+        fake.forget_history()
+        await wait_until(lambda: fake.calls[-1] == "GET /-/kv-range")
+        task.on_store_checked(answered=False)
+        fake.fault = ""
+        fake.put("op/config", as_bytes(config_document(4)))
+        task.on_store_checked(answered=True)
+        async with asyncio.timeout(1):
+            await wait_until(lambda: config_version(task) == 4)
+
+    run_with_task(test)
