--- a/tests/lib/simulated_fleet.py
+++ b/tests/lib/simulated_fleet.py
@@ -119,7 +119,9 @@
         store: Any = SimulatedStoreClient(
             fleet.store,
             watch_wait_s=fleet.settings.watch_wait_s,
-            is_silent=lambda: fleet.is_silent(self.name),
+            is_silent=lambda: (
+                fleet.is_silent(self.name) or self.name in fleet.cut_from_store
+            ),
         )
         peers: Any = _PeerClient(fleet, self.name)
         self.source = ChangeSource(
@@ -215,6 +217,8 @@
     ----------
     silent : set of str
         Instances that neither answer nor get answers.
+    cut_from_store : set of str
+        Instances that get no answers of the store.
     link_delay_s : float
         Time that a request to another instance takes, and its answer.
     accepts_connections : bool
@@ -233,6 +237,7 @@
         self.store = SimulatedStore()
         self.settings = settings_from(json.dumps(boot_document(bounds=bounds)))
         self.silent: set[str] = set()
+        self.cut_from_store: set[str] = set()
         self.link_delay_s = LINK_DELAY_S
         self.accepts_connections = True
         self.names_era = True
--- a/tests/routed/test_store_restore.py
+++ b/tests/routed/test_store_restore.py
@@ -219,3 +219,54 @@
     assert count <= len(times_s) < 1.5 * count
     most = max(sum(0.0 <= t - at_s < 0.05 for t in times_s) for at_s in times_s)
     assert most < count / 3
+
+
+async def configure_and_wait(fleet: SimulatedFleet, *, limit_s: float) -> list[str]:
+    """Write a configuration; return the instances that have it late."""
+    configured_at_s = fleet.configure(5)
+    await asyncio.sleep(SETTLE_S)
+    delays_s = fleet.delays_s(5, since_s=configured_at_s)
+    return [name for name, delay_s in delays_s.items() if delay_s > limit_s]
+
+
+@pytest.mark.parametrize("gap_s", [0.05, 0.4, 0.9])
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_changes_are_in_force_in_time_after_two_restores_within_a_second(
+    sizes: Sizes, gap_s: float
+) -> None:
+    async def run() -> list[str]:
+        fleet = make_fleet(sizes)
+        async with fleet.running():
+            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+            copy = fleet.store.copy()
+            await asyncio.sleep(3.0)
+            fleet.store.restore(copy)
+            await asyncio.sleep(gap_s)
+            fleet.store.restore(copy)
+            late = await configure_and_wait(fleet, limit_s=CONTACT_S)
+            writing.cancel()
+            return late
+
+    assert run_simulated(run()) == []
+
+
+@pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
+def test_instances_that_were_cut_off_in_a_restore_follow_once_they_are_back(
+    sizes: Sizes,
+) -> None:
+    async def run() -> list[str]:
+        fleet = make_fleet(sizes)
+        async with fleet.running():
+            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+            copy = fleet.store.copy()
+            await asyncio.sleep(2.0)
+            fleet.cut_from_store = {m.name for m in fleet.members[::2]}
+            await asyncio.sleep(0.5)
+            fleet.store.restore(copy)
+            await asyncio.sleep(4.0)
+            fleet.cut_from_store = set()
+            late = await configure_and_wait(fleet, limit_s=CONTACT_S)
+            writing.cancel()
+            return late
+
+    assert run_simulated(run()) == []
