--- a/packages/bench/src/borageramp_bench/standins/state.py
+++ b/packages/bench/src/borageramp_bench/standins/state.py
@@ -1,5 +1,6 @@
 """The data of the key-value stand-in."""
 
+import copy
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -17,15 +18,35 @@
 
 
 class StoreState:
-    """Keys, revisions and leases, as the etcd v3 API defines them."""
+    """Keys, revisions and leases, as the etcd v3 API defines them.
+
+    Attributes
+    ----------
+    cluster_id : int
+        Identifier that answers name; another one after a restore, as of a cluster that
+        is made from a backup.
+    """
 
     def __init__(self) -> None:
+        self.cluster_id = 1
         self.revision = 1
         self.items: dict[bytes, etcd_pb2.KeyValue] = {}
         self.history: list[etcd_pb2.Event] = []
         self.leases: dict[int, _Lease] = {}
         self._next_lease = 1000
 
+    def backup(self) -> "StoreState":
+        """Return a copy from which the state can be restored."""
+        return copy.deepcopy(self)
+
+    def restore(self, backup: "StoreState") -> None:
+        """Go back to a copy; leases run anew, as after a restart."""
+        cluster_id = self.cluster_id + 1
+        self.__dict__.update(copy.deepcopy(backup).__dict__)
+        self.cluster_id = cluster_id
+        for lease in self.leases.values():
+            lease.until_s = time.monotonic() + lease.ttl_s
+
     def range(self, key: bytes, end: bytes) -> list[etcd_pb2.KeyValue]:
         """Return the items of one key, or from a key up to an end."""
         if not end:
@@ -40,6 +61,7 @@
             self.revision += 1
             self.history.extend(events)
         response.header.revision = self.revision
+        response.header.cluster_id = self.cluster_id
         return response
 
     def _transact(
--- a/packages/bench/src/borageramp_bench/standins/store.py
+++ b/packages/bench/src/borageramp_bench/standins/store.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.state = StoreState()
+        self._backup = self.state.backup()
         self.down = False
         self.slow_s = 0.0
         self.lose_answers = 0
@@ -53,6 +54,16 @@
         self.lose_answers = lose_answers
         return {}
 
+    def backup(self) -> dict[str, int]:
+        """Keep a copy of the state, from which it can be restored."""
+        self._backup = self.state.backup()
+        return {"revision": self.state.revision}
+
+    def restore(self) -> dict[str, int]:
+        """Go back to the copy, empty at first; watches are cut."""
+        self.state.restore(self._backup)
+        return {"revision": self.state.revision}
+
     def expire(self, prefix: str) -> dict[str, Any]:
         """End the leases of keys with a prefix before their time."""
         held = {
@@ -115,6 +126,7 @@
         found = state.range(request.key, request.range_end)
         reply = etcd_pb2.RangeResponse(kvs=found, count=len(found))
         reply.header.revision = state.revision
+        reply.header.cluster_id = state.cluster_id
         await stream.send_message(reply)
 
     async def Txn(self, stream: Any) -> None:
@@ -175,7 +187,8 @@
         self._standin.watches += 1
         await stream.send_message(etcd_pb2.WatchResponse(watch_id=1, created=True))
         index = 0
-        while True:
+        cluster_id = self._standin.state.cluster_id
+        while cluster_id == self._standin.state.cluster_id:
             await self._standin.before()
             events = list(
                 self._standin.state.events_since(
@@ -205,7 +218,9 @@
         standin = StoreStandin()
         commands: dict[str, Callable[..., Any]] = {
             "fault": standin.fault,
+            "backup": standin.backup,
             "expire": standin.expire,
+            "restore": standin.restore,
             "counts": standin.counts,
             "dump": standin.dump,
         }
