Read messages of later builds, and hold what earlier ones wrote

In an upgrade two builds run side by side, and all decoders between instances refused unknown fields: the first new field in an instance's record would have made each earlier build drop the new instances from its list. What has landed can't change; from now on unknown fields are ignored, and a refusal for an unknown reason keeps its verdict.

--- a/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/change_log.py
@@ -9,10 +9,17 @@
 
 from borageramp_core import HistoryLostError
 from borageramp_core.routing import StorePosition
+from borageramp_entry._internal.routed.message_struct import MessageStruct
 from borageramp_entry._internal.store.base import Change, Item
-from borageramp_settings import StrictStruct
 
-__all__ = ["MalformedChangeError", "ChangeLog", "encode_change", "decode_change"]
+__all__ = [
+    "ChangeLog",
+    "MalformedChangeError",
+    "compress",
+    "decode_change",
+    "decompress",
+    "encode_change",
+]
 
 # Instances that need older changes read the store instead.
 MAX_LOGGED_CHANGES = 1000
@@ -124,14 +131,14 @@
         return encoded
 
 
-class _ItemMessage(StrictStruct, frozen=True, kw_only=True):
+class _ItemMessage(MessageStruct, frozen=True, kw_only=True):
     key: str
     # Bytes decoded as Latin-1; almost all values are text and compress well.
     value: str
     revision: int
 
 
-class _ChangeMessage(StrictStruct, frozen=True, kw_only=True):
+class _ChangeMessage(MessageStruct, frozen=True, kw_only=True):
     revision: int
     written: tuple[_ItemMessage, ...]
     deleted: tuple[str, ...]
@@ -140,7 +147,7 @@
 def encode_change(change: Change) -> bytes:
     """Encode a change for transfer to another instance.
 
-    Its era is sent apart, as builds that have landed refuse unknown fields here.
+    Its era is sent apart: see ``docs/compatibility.md``.
     """
     written = tuple(
         _ItemMessage(key=i.key, value=i.value.decode("latin-1"), revision=i.revision)
@@ -149,7 +156,12 @@
     message = _ChangeMessage(
         revision=change.revision, written=written, deleted=change.deleted
     )
-    return zlib.compress(msgspec.json.encode(message), COMPRESSION_LEVEL)
+    return compress(msgspec.json.encode(message))
+
+
+def compress(text: bytes) -> bytes:
+    """Compress an encoded message."""
+    return zlib.compress(text, COMPRESSION_LEVEL)
 
 
 def decode_change(encoded: bytes) -> Change:
@@ -161,7 +173,7 @@
         If the data is invalid, truncated or too large.
     """
     try:
-        message = msgspec.json.decode(_decompress(encoded), type=_ChangeMessage)
+        message = msgspec.json.decode(decompress(encoded), type=_ChangeMessage)
         written = tuple(
             Item(key=i.key, value=i.value.encode("latin-1"), revision=i.revision)
             for i in message.written
@@ -176,7 +188,16 @@
     return Change(written=written, deleted=message.deleted, revision=message.revision)
 
 
-def _decompress(encoded: bytes) -> bytes:
+def decompress(encoded: bytes) -> bytes:
+    """Decompress an encoded message.
+
+    Raises
+    ------
+    MalformedChangeError
+        If it is truncated or too large.
+    zlib.error
+        If it is no compressed message.
+    """
     decompressor = zlib.decompressobj()
     text = decompressor.decompress(encoded, MAX_DECOMPRESSED_BYTES)
     if not decompressor.eof:
--- a/packages/entry/src/borageramp_entry/_internal/routed/forwarding_messages.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/forwarding_messages.py
@@ -11,9 +11,9 @@
 
 from borageramp_core import AttemptResult, Reason, RefusedError, Verdict
 from borageramp_core.routing import PeerReport, Reach, Route, ServiceShare
+from borageramp_entry._internal.routed.message_struct import MessageStruct
 from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.serving.requests import Headers
-from borageramp_settings import StrictStruct
 
 __all__ = [
     "FORWARDED_HEADER",
@@ -28,6 +28,7 @@
     "encode_refusal",
     "encode_report",
     "encode_terms",
+    "encode_terms_message",
     "has_terms",
 ]
 
@@ -44,7 +45,7 @@
     """A message of another instance can't be decoded."""
 
 
-class ForwardedTerms(StrictStruct, frozen=True, kw_only=True):
+class ForwardedTerms(MessageStruct, frozen=True, kw_only=True):
     """Terms of a forwarded request, as the instance that took it knows them.
 
     Attributes
@@ -94,14 +95,15 @@
         )
 
 
-class _Refusal(StrictStruct, frozen=True, kw_only=True):
+class _Refusal(MessageStruct, frozen=True, kw_only=True):
     verdict: Verdict
-    reason: Reason
+    # Not a Reason: later builds may have others.
+    reason: str
     detail: str
     retry_after_s: NotNegative | None = None
 
 
-class _Report(StrictStruct, frozen=True, kw_only=True):
+class _Report(MessageStruct, frozen=True, kw_only=True):
     reach: Reach
     in_flight: Annotated[int, Meta(ge=0)]
 
@@ -130,7 +132,12 @@
         objective_s=request.route.objective_s,
         rank=request.route.rank,
     )
-    return FORWARDED_HEADER, msgspec.json.encode(terms)
+    return FORWARDED_HEADER, encode_terms_message(terms)
+
+
+def encode_terms_message(terms: ForwardedTerms) -> bytes:
+    """Return the value of the header with the terms of a request."""
+    return msgspec.json.encode(terms)
 
 
 def has_terms(headers: Headers) -> bool:
@@ -157,7 +164,7 @@
     """Return the header that marks a refusal of an instance."""
     refusal = _Refusal(
         verdict=error.verdict,
-        reason=error.reason,
+        reason=error.reason.value,
         detail=error.detail,
         retry_after_s=error.retry_after_s,
     )
@@ -176,7 +183,13 @@
     if value is None:
         return None
     refusal = _decode(value, _Refusal)
-    return RefusedError(**msgspec.structs.asdict(refusal))
+    known = refusal.reason in set(Reason)
+    return RefusedError(
+        verdict=refusal.verdict,
+        reason=Reason(refusal.reason) if known else Reason.INTERNAL,
+        detail=refusal.detail if known else f"{refusal.reason}: {refusal.detail}",
+        retry_after_s=refusal.retry_after_s,
+    )
 
 
 def attempt_result(refusal: RefusedError) -> AttemptResult:
--- a/packages/entry/src/borageramp_entry/_internal/routed/records.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/records.py
@@ -6,8 +6,8 @@
 
 from borageramp_core.routing import CrashSuspect, Instance, MalformedItem, StateItem
 from borageramp_entry._internal.addresses import split_remote_address
+from borageramp_entry._internal.routed.message_struct import MessageStruct
 from borageramp_entry._internal.store.base import Item
-from borageramp_settings import StrictStruct
 
 __all__ = [
     "INSTANCES_PREFIX",
@@ -22,7 +22,7 @@
 SUSPECTS_PREFIX = "borageramp/suspects/"
 
 
-class _InstanceRecord(StrictStruct, frozen=True, kw_only=True):
+class _InstanceRecord(MessageStruct, frozen=True, kw_only=True):
     name: str
     incarnation: str
     data_centre: str
@@ -32,7 +32,7 @@
     capacity: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
-class _SuspectRecord(StrictStruct, frozen=True, kw_only=True):
+class _SuspectRecord(MessageStruct, frozen=True, kw_only=True):
     fingerprint: str
     upstreams: tuple[str, ...]
 
