Doubt an upstream again in a second restore, and bound what is published again

Found while reading: an upstream that was doubted after one restore counted as leaving in the next, and then got nothing until it wrote again. 'store regained' is logged as information again, not as a warning. Fingerprints to publish again are forgotten with their suspects.

Measured: test_an_upstream_that_was_gone_is_used_some_time_after_two_restores failed before and passes.

--- a/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
+++ b/packages/core/src/borageramp_core/_internal/routing/fleet_state.py
@@ -130,18 +130,22 @@
     def _put_restored(self, key: str, item: Registration, *, now_s: float) -> None:
         """Put a registration that may be older than what is known of it."""
         known = self._items.get(key)
-        removed_at_s, removed_start_ms = self._removed.get(key, (float("-inf"), -1))
-        if isinstance(known, Registration) and known.started_ms == item.started_ms:
-            self.put(key, replace(item, leaving=item.leaving or known.leaving))
-        elif (
-            removed_start_ms == item.started_ms
-            and now_s - removed_at_s < REMOVAL_MEMORY_S
-        ):
+        if self._seems_gone(key, item, now_s=now_s):
             self.put(key, replace(item, leaving=True))
             self._doubted[key] = (now_s, item)
+        elif isinstance(known, Registration) and known.started_ms == item.started_ms:
+            self.put(key, replace(item, leaving=item.leaving or known.leaving))
         else:
             self.put(key, item)
 
+    def _seems_gone(self, key: str, item: Registration, *, now_s: float) -> bool:
+        """Return whether the same start of an upstream was seen to go."""
+        if key in self._doubted:
+            return self._doubted[key][1].started_ms == item.started_ms
+        removed_at_s, started_ms = self._removed.get(key, (float("-inf"), 0))
+        remembered = now_s - removed_at_s < REMOVAL_MEMORY_S
+        return remembered and started_ms == item.started_ms
+
     def release_doubted(self, *, older_than_s: float, now_s: float) -> bool:
         """Use registrations that a restored store still has after some time.
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/crashes.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/crashes.py
@@ -141,7 +141,9 @@
         return AttemptResult.ANSWERED
 
     async def _publish(self, fingerprint: str) -> None:
-        suspect_state = dict(self._suspects.recent(now_s=_now_s())).get(fingerprint)
+        recent = dict(self._suspects.recent(now_s=_now_s()))
+        self._published &= recent.keys()
+        suspect_state = recent.get(fingerprint)
         if suspect_state is None or not suspect_state.upstreams:
             self._published.discard(fingerprint)
             return
--- a/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/fleet_state.py
@@ -216,7 +216,8 @@
         if not self._reachable:
             self._reachable = True
             self._recovered_at_s = now_s
-            self._log_store("store regained")
+            position = self.fleet_state.position
+            _log.info("store regained", revision=position.revision, era=position.era)
 
     def _within_rejoin_window(self) -> bool:
         """Return whether an outage is ongoing or ended less than ``rejoin_s`` ago.
--- a/tests/routed/test_world.py
+++ b/tests/routed/test_world.py
@@ -165,3 +165,20 @@
     older = {"u": make_registration(started_ms=5)}
     fleet_state.replace(older, after_outage=False, restored=True, now_s=10.0)
     assert not fleet_state.retain_missing("u", now_s=10.5)
+
+
+# Guards against an upstream that gets nothing for good, as a second restore forgets
+# that it was only doubted.
+def test_an_upstream_that_was_gone_is_used_some_time_after_two_restores() -> None:
+    fleet_state = FleetState()
+    fleet_state.put("u", make_registration(started_ms=5))
+    fleet_state.remove("u", now_s=9.0)
+    older = {"u": make_registration(started_ms=5)}
+    for restored_at_s in (10.0, 10.5):
+        fleet_state.replace(
+            older, after_outage=False, restored=True, now_s=restored_at_s
+        )
+    assert is_leaving(fleet_state)
+    assert not fleet_state.release_doubted(older_than_s=2.0, now_s=12.0)
+    assert fleet_state.release_doubted(older_than_s=2.0, now_s=12.5)
+    assert not is_leaving(fleet_state)
