--- a/tests/lib/store_restore.py
+++ b/tests/lib/store_restore.py
@@ -1,6 +1,9 @@
 """A store that comes back from an older copy while a simulated fleet follows it."""
 
 import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from tests.lib.simulated_fleet import SimulatedFleet
@@ -8,6 +11,7 @@
 __all__ = ["Restore", "restore_store", "writing_upstreams"]
 
 UPSTREAM_COUNT = 5
+WRITES_HZ = 2.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,13 +30,22 @@
     away_s: float = 0.5
 
 
-async def writing_upstreams(fleet: SimulatedFleet, *, rate_hz: float) -> None:
-    """Let upstreams write their registrations anew until cancelled."""
-    number = 0
-    while True:
-        fleet.register_upstream(f"u{number % UPSTREAM_COUNT}")
-        number += 1
-        await asyncio.sleep(1.0 / rate_hz)
+@contextlib.asynccontextmanager
+async def writing_upstreams(
+    fleet: SimulatedFleet, *, rate_hz: float = WRITES_HZ
+) -> AsyncIterator[None]:
+    """Let upstreams write their registrations anew meanwhile."""
+
+    async def write() -> None:
+        for number in itertools.count():
+            fleet.register_upstream(f"u{number % UPSTREAM_COUNT}")
+            await asyncio.sleep(1.0 / rate_hz)
+
+    task = asyncio.ensure_future(write())
+    try:
+        yield
+    finally:
+        task.cancel()
 
 
 async def restore_store(fleet: SimulatedFleet, restore: Restore) -> None:
--- a/tests/routed/test_store_restore.py
+++ b/tests/routed/test_store_restore.py
@@ -14,7 +14,6 @@
 GROWN = ({"a": 48, "b": 46, "c": 42}, 2.5)
 # Instances need not follow changes in time until this long after the restore.
 CONTACT_S = 3.0
-WRITES_HZ = 2.0
 SETTLE_S = 20.0
 
 Sizes = tuple[dict[str, int], float]
@@ -26,6 +25,14 @@
     return SimulatedFleet(sizes=instances, bounds=bounds, seed=seed)
 
 
+async def configure_and_wait(fleet: SimulatedFleet, *, limit_s: float) -> list[str]:
+    """Write a configuration; return the instances that have it late."""
+    configured_at_s = fleet.configure(5)
+    await asyncio.sleep(SETTLE_S)
+    delays_s = fleet.delays_s(5, since_s=configured_at_s)
+    return [name for name, delay_s in delays_s.items() if delay_s > limit_s]
+
+
 def late_after_restore(
     sizes: Sizes, restore: Restore, *, after_s: float, names_era: bool = True
 ) -> list[str]:
@@ -46,19 +53,14 @@
     async def run() -> list[str]:
         fleet = make_fleet(sizes, seed=2)
         fleet.names_era = names_era
-        async with fleet.running():
-            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+        async with fleet.running(), writing_upstreams(fleet):
             await asyncio.sleep(0.1)
             fleet.configure(3)
             await asyncio.sleep(2.0)
             await restore_store(fleet, restore)
             await asyncio.sleep(after_s)
-            configured_at_s = fleet.configure(5)
-            await asyncio.sleep(SETTLE_S)
-            writing.cancel()
-            delays_s = fleet.delays_s(5, since_s=configured_at_s)
             limit_s = max(sizes[1], CONTACT_S - after_s)
-            return [name for name, delay_s in delays_s.items() if delay_s > limit_s]
+            return await configure_and_wait(fleet, limit_s=limit_s)
 
     return run_simulated(run())
 
@@ -91,14 +93,12 @@
     async def run() -> tuple[set[frozenset[str]], set[str]]:
         fleet = make_fleet(sizes, seed=2)
         fleet.register_upstream("leaves")
-        async with fleet.running():
-            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+        async with fleet.running(), writing_upstreams(fleet):
             await asyncio.sleep(2.0)
             await restore_store(fleet, Restore(lost_revisions=6))
             fleet.remove_upstream("leaves")
             fleet.register_upstream("joins")
             await asyncio.sleep(SETTLE_S)
-            writing.cancel()
             known = {frozenset(m.upstream_names()) for m in fleet.members}
             return known, fleet.upstream_names()
 
@@ -221,14 +221,6 @@
     assert most < count / 3
 
 
-async def configure_and_wait(fleet: SimulatedFleet, *, limit_s: float) -> list[str]:
-    """Write a configuration; return the instances that have it late."""
-    configured_at_s = fleet.configure(5)
-    await asyncio.sleep(SETTLE_S)
-    delays_s = fleet.delays_s(5, since_s=configured_at_s)
-    return [name for name, delay_s in delays_s.items() if delay_s > limit_s]
-
-
 @pytest.mark.parametrize("gap_s", [0.05, 0.4, 0.9])
 @pytest.mark.parametrize("sizes", [SMALL, GROWN], ids=["small", "grown"])
 def test_changes_are_in_force_in_time_after_two_restores_within_a_second(
@@ -236,16 +228,13 @@
 ) -> None:
     async def run() -> list[str]:
         fleet = make_fleet(sizes)
-        async with fleet.running():
-            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+        async with fleet.running(), writing_upstreams(fleet):
             copy = fleet.store.copy()
             await asyncio.sleep(3.0)
             fleet.store.restore(copy)
             await asyncio.sleep(gap_s)
             fleet.store.restore(copy)
-            late = await configure_and_wait(fleet, limit_s=CONTACT_S)
-            writing.cancel()
-            return late
+            return await configure_and_wait(fleet, limit_s=CONTACT_S)
 
     assert run_simulated(run()) == []
 
@@ -256,8 +245,7 @@
 ) -> None:
     async def run() -> list[str]:
         fleet = make_fleet(sizes)
-        async with fleet.running():
-            writing = asyncio.ensure_future(writing_upstreams(fleet, rate_hz=WRITES_HZ))
+        async with fleet.running(), writing_upstreams(fleet):
             copy = fleet.store.copy()
             await asyncio.sleep(2.0)
             fleet.cut_from_store = {m.name for m in fleet.members[::2]}
@@ -265,8 +253,6 @@
             fleet.store.restore(copy)
             await asyncio.sleep(4.0)
             fleet.cut_from_store = set()
-            late = await configure_and_wait(fleet, limit_s=CONTACT_S)
-            writing.cancel()
-            return late
+            return await configure_and_wait(fleet, limit_s=CONTACT_S)
 
     assert run_simulated(run()) == []
--- a/tests/routed/test_world.py
+++ b/tests/routed/test_world.py
@@ -65,6 +65,16 @@
     assert fleet_state.evacuated_data_centres() == frozenset()
 
 
+def make_state_with_restored_upstream(*, restored_at_s: float = 10.0) -> FleetState:
+    """Return a state in which an upstream was gone at 9 s, and is there again."""
+    fleet_state = FleetState()
+    fleet_state.put("u", make_registration(started_ms=5))
+    fleet_state.remove("u", now_s=9.0)
+    older = {"u": make_registration(started_ms=5)}
+    fleet_state.replace(older, after_outage=False, restored=True, now_s=restored_at_s)
+    return fleet_state
+
+
 def is_leaving(fleet_state: FleetState) -> bool:
     (registration,) = fleet_state.registrations()
     return registration.leaving
@@ -119,11 +129,7 @@
 
 # Guards against requests to an upstream that is gone, as an older copy still has it.
 def test_an_upstream_that_was_gone_is_not_used_soon_after_a_restore() -> None:
-    fleet_state = FleetState()
-    fleet_state.put("u", make_registration(started_ms=5))
-    fleet_state.remove("u", now_s=9.0)
-    older = {"u": make_registration(started_ms=5)}
-    fleet_state.replace(older, after_outage=False, restored=True, now_s=10.0)
+    fleet_state = make_state_with_restored_upstream()
     assert is_leaving(fleet_state)
     assert not fleet_state.release_doubted(older_than_s=2.0, now_s=11.9)
     assert fleet_state.release_doubted(older_than_s=2.0, now_s=12.0)
@@ -131,22 +137,14 @@
 
 
 def test_an_upstream_that_was_gone_is_used_once_it_is_written_again() -> None:
-    fleet_state = FleetState()
-    fleet_state.put("u", make_registration(started_ms=5))
-    fleet_state.remove("u", now_s=9.0)
-    older = {"u": make_registration(started_ms=5)}
-    fleet_state.replace(older, after_outage=False, restored=True, now_s=10.0)
+    fleet_state = make_state_with_restored_upstream()
     fleet_state.put("u", make_registration(started_ms=5))
     assert not is_leaving(fleet_state)
     assert not fleet_state.release_doubted(older_than_s=2.0, now_s=20.0)
 
 
 def test_an_upstream_that_was_gone_long_ago_is_used_after_a_restore() -> None:
-    fleet_state = FleetState()
-    fleet_state.put("u", make_registration(started_ms=5))
-    fleet_state.remove("u", now_s=9.0)
-    listing = {"u": make_registration(started_ms=5)}
-    fleet_state.replace(listing, after_outage=False, restored=True, now_s=100.0)
+    fleet_state = make_state_with_restored_upstream(restored_at_s=100.0)
     assert not is_leaving(fleet_state)
 
 
@@ -159,25 +157,16 @@
 
 
 def test_an_upstream_that_a_restored_store_removes_again_is_gone_at_once() -> None:
-    fleet_state = FleetState()
-    fleet_state.put("u", make_registration(started_ms=5))
-    fleet_state.remove("u", now_s=9.0)
-    older = {"u": make_registration(started_ms=5)}
-    fleet_state.replace(older, after_outage=False, restored=True, now_s=10.0)
+    fleet_state = make_state_with_restored_upstream()
     assert not fleet_state.retain_missing("u", now_s=10.5)
 
 
 # Guards against an upstream that gets nothing for good, as a second restore forgets
 # that it was only doubted.
 def test_an_upstream_that_was_gone_is_used_some_time_after_two_restores() -> None:
-    fleet_state = FleetState()
-    fleet_state.put("u", make_registration(started_ms=5))
-    fleet_state.remove("u", now_s=9.0)
-    older = {"u": make_registration(started_ms=5)}
-    for restored_at_s in (10.0, 10.5):
-        fleet_state.replace(
-            older, after_outage=False, restored=True, now_s=restored_at_s
-        )
+    fleet_state = make_state_with_restored_upstream()
+    again = {"u": make_registration(started_ms=5)}
+    fleet_state.replace(again, after_outage=False, restored=True, now_s=10.5)
     assert is_leaving(fleet_state)
     assert not fleet_state.release_doubted(older_than_s=2.0, now_s=12.0)
     assert fleet_state.release_doubted(older_than_s=2.0, now_s=12.5)
