Choose the ports of entry processes as elsewhere, and tell why one ended

Its output was lost: the test waited for a process without looking whether it still ran.

tests/lib/entry_process.py had a free_port of its own, from the range of outgoing connections; it uses the one of the bench package now, which lies below that range. A process that ends before it is ready fails the test at once, with its output.

--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -4,31 +4,25 @@
 import json
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
 
 import yaml
 
+from borageramp_bench.processes import free_port
 from borageramp_core.routing import Instance
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry.routed import HttpClient
 from tests.lib.platform_store import FakeStore
 from tests.lib.routed import HERE, make_instance
 
-__all__ = ["WORK_S", "EntryProcess", "StubUpstream", "free_port"]
+__all__ = ["WORK_S", "EntryProcess", "StubUpstream"]
 
 ROOT = Path(__file__).resolve().parents[2]
 WORK_S = 0.6
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class StubUpstream:
     """Answers requests after ``WORK_S``, and health checks immediately.
 
@@ -198,7 +192,11 @@
         return response.status, body
 
     async def wait_until_ready(self) -> None:
+        """Wait until the process is ready; fail if it ends first."""
         while True:
+            if self.process.returncode is not None:
+                out, _ = await self.process.communicate()
+                raise AssertionError(f"{self.name} ended: {out.decode()[-4000:]}")
             try:
                 if (await self.get(self.check, "/-/readyz"))[0] == 200:
                     return
