Log and count searches for an instance that reaches a service

Cause: a refusal as upstreams_unreachable says only that. Whom the search asked, what these said, why it ended, whether a no was a proven one, and whether a request had no further attempt for lack of retry budget could not be told from logs or metrics, so that the hypotheses of the incident could not be told apart.

Change: the search is a class of its own (peer_search.py), moved as it was. It logs "search ended" with the instances asked in each data centre and their answers. Who is asked logs "reach not confirmed" if no probe of its own was answered in time. A request logs "retry denied" once. Three gauges count questions, those without an answer, and failed searches. The connections to other instances can be passed in. No decision changes.

--- a/packages/entry/src/borageramp_entry/_internal/routed/attempt_log.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/attempt_log.py
@@ -31,6 +31,7 @@
         self._request_id = request_id
         self._pool = pool
         self._clock = clock
+        self._retry_denied = False
 
     def placed(
         self, choice: PlacementChoice, *, try_number: int, caller_age_s: float
@@ -76,6 +77,18 @@
             service_answer_age_ms=self._answer_age_ms(),
         )
 
+    def retry_denied(self, *, in_flight: int) -> None:
+        """Log, once, that the retry budget allowed no further attempt."""
+        if self._retry_denied:
+            return
+        self._retry_denied = True
+        _log.info(
+            "retry denied",
+            request_id=self._request_id,
+            service=self._pool.name,
+            in_flight=in_flight,
+        )
+
     def _answer_age_ms(self) -> float | None:
         now_s = self._clock()
         return _age_ms(self._pool.reachability.answer_age_s(now_s=now_s))
--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -230,6 +230,7 @@
         # Only what has reached an upstream counts as a retry there.
         is_retry = bool(self._in_flight) or self._may_have_arrived
         if is_retry and not self._retry_budget.spend():
+            self._log.retry_denied(in_flight=len(self._in_flight))
             return False
         # While another attempt is in flight, this one isn't queued.
         if await self._start_attempt(wait=not self._in_flight):
--- a/packages/entry/src/borageramp_entry/_internal/routed/forwarded_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/forwarded_handler.py
@@ -17,6 +17,7 @@
     Route,
 )
 from borageramp_entry._internal.border.server import HttpHandler, HttpRequest
+from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.caller_handler import CallerRequestHandler
 from borageramp_entry._internal.routed.dispatch import RoutedDispatcher
 from borageramp_entry._internal.routed.forwarding_messages import (
@@ -39,6 +40,8 @@
 from borageramp_entry._internal.serving.dialect import HOP_BY_HOP, pass_headers
 from borageramp_entry._internal.serving.requests import Headers
 
+_log = get_logger(__name__)
+
 __all__ = [
     "ForwardedRequestHandler",
     "PeerHandler",
@@ -225,13 +228,22 @@
             return
         any_request = PlacementRequirements(work_s=0.0, max_response_s=float("inf"))
         views = pool.candidates(any_request, now_s=now_s)[:CHECK_PROBES]
-        pending = set(self._prober.start(views))
+        probes = self._prober.start(views)
+        pending = set(probes)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 while pending and self._answer_age_s(service) > MAX_ANSWER_AGE_S:
                     _, pending = await asyncio.wait(
                         pending, return_when=asyncio.FIRST_COMPLETED
                     )
+        if self._answer_age_s(service) > MAX_ANSWER_AGE_S:
+            _log.info(
+                "reach not confirmed",
+                service=service,
+                candidates=len(views),
+                probes=len(probes),
+                took_ms=round((self._clock() - now_s) * 1000, 1),
+            )
 
 
 class PeerHandler:
--- a/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/gauges.py
@@ -77,6 +77,21 @@
         "Requests sent to other instances as upstreams could not be reached.",
         lambda: forwarder.forwarded,
     )
+    gauge(
+        "borageramp_reach_questions",
+        "Questions to other instances, whether they reach a service.",
+        lambda: forwarder.search.asked,
+    )
+    gauge(
+        "borageramp_unanswered_reach_questions",
+        "Those of them that brought no answer.",
+        lambda: forwarder.search.unanswered,
+    )
+    gauge(
+        "borageramp_failed_searches",
+        "Searches for an instance that reaches a service that found none.",
+        lambda: forwarder.search.failed,
+    )
     gauge(
         "borageramp_forwarded_in_flight",
         "Requests of other instances under way.",
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -6,7 +6,13 @@
 from urllib.parse import quote
 
 from borageramp_core import AttemptResult, RefusedError
-from borageramp_core.routing import Instance, PeerSelector, Reach, UpstreamView
+from borageramp_core.routing import (
+    Instance,
+    PeerReport,
+    PeerSelector,
+    Reach,
+    UpstreamView,
+)
 from borageramp_entry._internal.addresses import split_address
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.routed.attempts import RoutedAnswer, buffer_body
@@ -18,6 +24,7 @@
     decode_report,
     encode_terms,
 )
+from borageramp_entry._internal.routed.peer_search import NoReportError, PeerSearch
 from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.serving.dialect import HOP_BY_HOP, pass_headers
 from borageramp_entry._internal.serving.http_client import (
@@ -38,9 +45,6 @@
 
 _log = get_logger(__name__)
 
-# Instances that are asked at a time whether they reach a service; all of them may be
-# cut off as well.
-ASK_COUNTS = (3, 6, 12)
 ASK_TIMEOUT_S = 0.15
 CONNECT_TIMEOUT_S = 0.15
 IDLE_TIMEOUT_S = 5.0
@@ -74,23 +78,34 @@
         Source of randomness.
     clock : callable
         Returns the current time in seconds.
+    http : HttpClient, optional
+        Connections to other instances; by default its own.
 
     Attributes
     ----------
+    search : PeerSearch
+        Search for instances that reach a service.
     forwarded : int
         Requests sent to other instances.
     """
 
     def __init__(
-        self, *, own: Instance, rng: random.Random, clock: Callable[[], float]
+        self,
+        *,
+        own: Instance,
+        rng: random.Random,
+        clock: Callable[[], float],
+        http: HttpClient | None = None,
     ) -> None:
         self._selector = PeerSelector(own=own, rng=rng)
         self._clock = clock
         # An instance may be cut off while its upstream works on a request.
-        self._http = HttpClient(
+        self._http = http or HttpClient(
             idle_s=IDLE_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS, watched=True
         )
-        self._asks: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self.search = PeerSearch(
+            selector=self._selector, ask=self._request_report, clock=clock
+        )
         self.forwarded = 0
 
     def update(self, instances: Iterable[Instance]) -> None:
@@ -105,78 +120,26 @@
         excluded: Collection[str],
         max_rounds: int | None = None,
     ) -> Instance | None:
-        """Return an instance that has just said that it reaches a service.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        min_reach : Reach
-            How much of it the instance has to reach.
-        excluded : collection of str
-            Names of instances to leave out.
-        max_rounds : int, optional
-            How often further instances are asked if none of those before will do; by
-            default, up to three times.
-        """
-
-        def choose() -> Instance | None:
-            return self._selector.choose(
-                service, min_reach=min_reach, excluded=excluded, now_s=self._clock()
-            )
-
-        peer = choose()
-        for count in ASK_COUNTS[:max_rounds]:
-            if peer is not None:
-                break
-            pending = self._start_asks(service, count=count, excluded=excluded)
-            if not pending:
-                break
-            while pending and peer is None:
-                _, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                peer = choose()
-        return peer
-
-    def _start_asks(
-        self, service: str, *, count: int, excluded: Collection[str]
-    ) -> set[asyncio.Task[None]]:
-        instances = self._selector.to_ask(
-            service, count=count, excluded=excluded, now_s=self._clock()
+        """Return an instance that reaches a service; see :meth:`PeerSearch.find`."""
+        return await self.search.find(
+            service, min_reach=min_reach, excluded=excluded, max_rounds=max_rounds
         )
-        tasks = set()
-        for instance in instances:
-            key = (instance.name, service)
-            task = self._asks.get(key)
-            if task is None:
-                task = asyncio.ensure_future(self._ask(instance, service))
-                self._asks[key] = task
-            tasks.add(task)
-        return tasks
-
-    async def _ask(self, instance: Instance, service: str) -> None:
+
+    async def _request_report(self, instance: Instance, service: str) -> PeerReport:
         path = f"{REACHABILITY_PATH}?service={quote(service, safe='')}"
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 response = await self._http.request(
                     _place(instance), "GET", path, connect_timeout_s=CONNECT_TIMEOUT_S
                 )
-                report = decode_report(await _read_small(response))
+                return decode_report(await _read_small(response))
         except (
             NotConnectedError,
             BrokenExchangeError,
             MalformedMessageError,
             TimeoutError,
         ) as error:
-            _log.info("no answer", instance=instance.name, error=repr(error))
-            self._selector.on_no_answer(instance.name, now_s=self._clock())
-        else:
-            self._selector.on_report(
-                instance.name, service, report, now_s=self._clock()
-            )
-        finally:
-            del self._asks[instance.name, service]
+            raise NoReportError(repr(error)) from error
 
     async def send(
         self, instance: Instance, request: RoutedRequest, *, caller_age_s: float
@@ -248,8 +211,7 @@
 
     def close(self) -> None:
         """End all questions and close the idle connections."""
-        for task in list(self._asks.values()):
-            task.cancel()
+        self.search.close()
         self._http.close()
 
 
--- /dev/null
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
@@ -0,0 +1,191 @@
+"""Search for an instance that reaches the upstreams of a service."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass, field
+
+from borageramp_core.routing import Instance, PeerReport, PeerSelector, Reach
+from borageramp_entry._internal.logs import get_logger
+
+__all__ = ["NoReportError", "PeerSearch"]
+
+_log = get_logger(__name__)
+
+# Instances that are asked at a time whether they reach a service; all of them may be
+# cut off as well.
+ASK_COUNTS = (3, 6, 12)
+
+AskTask = asyncio.Task[PeerReport | None]
+
+
+class NoReportError(Exception):
+    """An instance didn't say what it reaches."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Tally:
+    """What one search has asked and heard, for its log line."""
+
+    service: str
+    started_at_s: float
+    data_centres: Counter[str] = field(default_factory=Counter)
+    reaching: int = 0
+    not_reaching: int = 0
+    unanswered: int = 0
+    ended: str = "found"
+
+    def add_asked(self, instances: Collection[Instance]) -> None:
+        self.data_centres.update(i.data_centre for i in instances)
+
+    def add_ended(self, tasks: Collection[AskTask]) -> None:
+        for task in tasks:
+            report = None if task.cancelled() else task.result()
+            if report is None:
+                self.unanswered += 1
+            elif report.reach is Reach.NONE:
+                self.not_reaching += 1
+            else:
+                self.reaching += 1
+
+
+class PeerSearch:
+    """Asks other instances whether they reach a service, until one does.
+
+    Parameters
+    ----------
+    selector : PeerSelector
+        Chooses the instances to ask, and one that reaches the service.
+    ask : callable
+        Asks an instance about a service; raises `NoReportError`.
+    clock : callable
+        Returns the current time in seconds.
+
+    Attributes
+    ----------
+    asked, unanswered : int
+        Questions sent, and those without an answer.
+    failed : int
+        Searches that found no instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        selector: PeerSelector,
+        ask: Callable[[Instance, str], Awaitable[PeerReport]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._selector = selector
+        self._ask_instance = ask
+        self._clock = clock
+        self._asks: dict[tuple[str, str], AskTask] = {}
+        self.asked = 0
+        self.unanswered = 0
+        self.failed = 0
+
+    async def find(
+        self,
+        service: str,
+        *,
+        min_reach: Reach,
+        excluded: Collection[str],
+        max_rounds: int | None = None,
+    ) -> Instance | None:
+        """Return an instance that has just said that it reaches a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        min_reach : Reach
+            How much of it the instance has to reach.
+        excluded : collection of str
+            Names of instances to leave out.
+        max_rounds : int, optional
+            How often further instances are asked if none of those before will do; by
+            default, up to three times.
+        """
+
+        def choose() -> Instance | None:
+            return self._selector.choose(
+                service, min_reach=min_reach, excluded=excluded, now_s=self._clock()
+            )
+
+        peer = choose()
+        if peer is not None:
+            return peer
+        tally = _Tally(service=service, started_at_s=self._clock(), ended="limit")
+        for count in ASK_COUNTS[:max_rounds]:
+            pending = self._start_asks(
+                service, count=count, excluded=excluded, tally=tally
+            )
+            if not pending:
+                tally.ended = "nobody_left"
+                break
+            while pending and peer is None:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                tally.add_ended(done)
+                peer = choose()
+            if peer is not None:
+                tally.ended = "found"
+                break
+        self._log_end(tally, peer)
+        return peer
+
+    def _start_asks(
+        self, service: str, *, count: int, excluded: Collection[str], tally: _Tally
+    ) -> set[AskTask]:
+        instances = self._selector.to_ask(
+            service, count=count, excluded=excluded, now_s=self._clock()
+        )
+        tally.add_asked(instances)
+        return {self._start_ask(instance, service) for instance in instances}
+
+    def _start_ask(self, instance: Instance, service: str) -> AskTask:
+        key = (instance.name, service)
+        task = self._asks.get(key)
+        if task is None:
+            self.asked += 1
+            task = asyncio.ensure_future(self._ask(instance, service))
+            self._asks[key] = task
+        return task
+
+    async def _ask(self, instance: Instance, service: str) -> PeerReport | None:
+        try:
+            report = await self._ask_instance(instance, service)
+        except NoReportError as error:
+            self.unanswered += 1
+            _log.info(
+                "no answer", instance=instance.name, service=service, error=str(error)
+            )
+            self._selector.on_no_answer(instance.name, now_s=self._clock())
+            return None
+        else:
+            self._selector.on_report(
+                instance.name, service, report, now_s=self._clock()
+            )
+            return report
+        finally:
+            del self._asks[instance.name, service]
+
+    def _log_end(self, tally: _Tally, peer: Instance | None) -> None:
+        self.failed += peer is None
+        _log.info(
+            "search ended",
+            service=tally.service,
+            instance=peer.name if peer is not None else None,
+            ended=tally.ended,
+            asked=dict(tally.data_centres),
+            reaching=tally.reaching,
+            not_reaching=tally.not_reaching,
+            unanswered=tally.unanswered,
+            took_ms=round((self._clock() - tally.started_at_s) * 1000, 1),
+        )
+
+    def close(self) -> None:
+        """End all questions."""
+        for task in list(self._asks.values()):
+            task.cancel()
