--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -50,6 +50,8 @@
         Whether the instance reaches them.
     reached_only : str
         Identifier of the only upstream that it reaches, if not empty.
+    silent : bool
+        Whether attempts to connect hang where upstreams aren't reached.
     refused_connections : int
         Attempts that fail to connect, while health checks are answered.
     reads_bodies : bool
@@ -69,6 +71,7 @@
     def __init__(self) -> None:
         self.reached = True
         self.reached_only = ""
+        self.silent = False
         self.refused_connections = 0
         self.reads_bodies = True
         self.answer: Answer = _answer_ok
@@ -85,7 +88,7 @@
         if self.refused_connections:
             self.refused_connections -= 1
             raise TryFailedError(AttemptResult.UNREACHABLE)
-        self._check_reached(upstream)
+        await self._connect(upstream, **terms)
         self.sent.append(request)
         self.terms.append(terms)
         if self.reads_bodies:
@@ -96,12 +99,16 @@
             self.cancelled += 1
             raise
 
-    def _check_reached(self, upstream: Any) -> None:
+    async def _connect(
+        self, upstream: Any, *, connect_timeout_s: float, **_: Any
+    ) -> None:
         if not self.reached or self.reached_only not in ("", upstream.name):
+            if self.silent:
+                await asyncio.sleep(connect_timeout_s)
             raise TryFailedError(AttemptResult.UNREACHABLE)
 
-    async def ask_health(self, upstream: Any, *_: Any, **__: Any) -> HealthAnswer:
-        self._check_reached(upstream)
+    async def ask_health(self, upstream: Any, *_: Any, **terms: Any) -> HealthAnswer:
+        await self._connect(upstream, **terms)
         return HealthAnswer(healthy=True, report=make_report())
 
     def forget(self, upstream: Any, **_: Any) -> int:
@@ -150,7 +157,7 @@
 class Member:
     """An instance with its dispatcher, and its server for other instances."""
 
-    def __init__(self, name: str, *, data_centre: str) -> None:
+    def __init__(self, name: str, *, data_centre: str, http: Any = None) -> None:
         self.name = name
         self.client = StubClient()
         self.stops_at_s = float("inf")
@@ -160,7 +167,7 @@
         clock = asyncio.get_running_loop().time
         rng = random.Random(name)
         own = make_instance(name, data_centre=data_centre)
-        self.forwarder = PeerForwarder(own=own, rng=rng, clock=clock)
+        self.forwarder = PeerForwarder(own=own, rng=rng, clock=clock, http=http)
         self.dispatcher = make_dispatcher(
             self.client, clock=clock, forwarder=self.forwarder
         )
--- /dev/null
+++ b/tests/routed/test_large_cuts.py
@@ -0,0 +1,66 @@
+"""Fleets of any size of which some instances reach no upstream, in simulated time."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+from structlog.testing import capture_logs
+
+from tests.lib.simulated_peers import DATA_CENTRES, PeerFleet
+from tests.lib.simulated_time import run_simulated
+
+# Time from which an instance that is cut off serves as others do.
+NOTICE_S = 3.0
+# Times of calm before a cut, and of the cut.
+CALM_S, CUT_S = 2.0, 9.0
+# The users count as a fault more than one in 50 first attempts that fail.
+MIN_SHARE_SERVED = 49 / 50
+
+Shape = Callable[[list[str], random.Random], list[str]]
+
+
+def one_data_centre(names: list[str], rng: random.Random) -> list[str]:
+    return names[rng.randrange(DATA_CENTRES) :: DATA_CENTRES]
+
+
+def all_but_one_data_centre(names: list[str], rng: random.Random) -> list[str]:
+    spared = one_data_centre(names, rng)
+    return [name for name in names if name not in spared]
+
+
+def most(names: list[str], rng: random.Random) -> list[str]:
+    return rng.sample(names, round(0.93 * len(names)))
+
+
+def all_but_one(names: list[str], rng: random.Random) -> list[str]:
+    return rng.sample(names, len(names) - 1)
+
+
+SHAPES = [one_data_centre, all_but_one_data_centre, most, all_but_one]
+
+
+async def run_cut(size: int, rate_hz: float, shape: Shape) -> PeerFleet:
+    """Return a fleet of which a part has been cut off for a while."""
+    fleet = PeerFleet(size, seed=size)
+    names = [member.name for member in fleet.members]
+    cut_off = shape(names, random.Random(size))
+    with capture_logs():
+        await fleet.receive_requests(rate_hz=rate_hz, for_s=CALM_S)
+        fleet.cut_off(cut_off)
+        await fleet.receive_requests(rate_hz=rate_hz, for_s=CUT_S)
+    return fleet
+
+
+# Guards against refusals at instances whose whole data centre, or nearly the whole
+# fleet, is cut off from the upstreams.
+@pytest.mark.parametrize("shape", SHAPES, ids=lambda shape: shape.__name__)
+@pytest.mark.parametrize(
+    ("size", "rate_hz"), [(14, 0.3), (14, 5.0), (136, 0.3), (136, 1.5), (313, 0.3)]
+)
+def test_callers_of_cut_off_instances_are_served_while_one_reaches_the_service(
+    size: int, rate_hz: float, shape: Shape
+) -> None:
+    fleet = run_simulated(run_cut(size, rate_hz, shape))
+    outcomes = fleet.outcomes_in_cut(after_s=NOTICE_S)
+    served = sum(outcome.served for outcome in outcomes)
+    assert served >= MIN_SHARE_SERVED * len(outcomes)
