Give back the retry of a hedge that reached no upstream

What callers saw: requests that an upstream had when its instance was cut off ended at their deadline, though another instance reached the service and their time allowed a hedge.

At 136 instances the budget of each comes to about one retry. A hedge spent it, found no connection, and nothing was left for the way over another instance. The budget bounds the load on upstreams, and such a hedge puts none on them.

Evidence: the test ends as deadline_passed, "the last of 2 attempts ended as unreachable", without the change.

Change: attempts that the budget was charged for are kept with their request; one that ends as unreachable is refunded. One that reached an upstream stays charged, as a second test shows.

Result: the request of the test is answered through the other instance within 3 s. Tests of dispatch, forwarding and budgets pass.

--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -18,6 +18,7 @@
     RoutedAnswer,
     RoutedAttempt,
 )
+from borageramp_entry._internal.routed.charged_retries import ChargedRetries
 from borageramp_entry._internal.routed.peer_forwarding import (
     ForwardedAttempt,
     PeerForwarder,
@@ -33,7 +34,6 @@
 
 # With less time left, as a multiple of the mean work, another attempt is of no use.
 MIN_REMAINING_TIME_RATIO = 0.7
-
 # Delay before retrying a hedge that found no capacity or no retry budget.
 HEDGE_RETRY_INTERVAL_S = 0.02
 
@@ -88,7 +88,8 @@
         self._clock = clock
         # A forwarded request is not forwarded again, so that it can't go in circles.
         self._forwarder = None if request.forwarded else forwarder
-        self._retry_budget = pools.retry_budget(request.caller.service)
+        retry_budget = pools.retry_budget(request.caller.service)
+        self._retries = ChargedRetries(budget=retry_budget)
         self._work_estimate = pools.work_estimate(request.route)
         self._log = AttemptLog(
             request_id=self._caller.request_id, pool=placer.pool, clock=clock
@@ -114,7 +115,7 @@
         self._caller_age_s = self._estimate_caller_age_s()
         if not request.forwarded:
             # The instance that took it from its caller has counted it.
-            self._retry_budget.earn()
+            retry_budget.earn()
 
     def _estimate_caller_age_s(self) -> float:
         """Return how long the caller had probably waited before this request."""
@@ -200,6 +201,7 @@
                 if isinstance(error, PeerRefusedError):
                     self._peer_refusal = error.refusal
                 self._on_attempt_failed(attempt, error.result)
+                self._retries.on_end(task, error.result)
             else:
                 raise error
         return None
@@ -229,15 +231,16 @@
             return False
         # Only what has reached an upstream counts as a retry there.
         is_retry = bool(self._in_flight) or self._may_have_arrived
-        if is_retry and not self._retry_budget.spend():
+        if is_retry and not self._retries.charge():
             self._log.retry_denied(in_flight=len(self._in_flight))
             return False
         # While another attempt is in flight, this one isn't queued.
-        if await self._start_attempt(wait=not self._in_flight):
-            return True
-        if is_retry:
-            self._retry_budget.refund()
-        return False
+        started = await self._start_attempt(wait=not self._in_flight)
+        if is_retry and started:
+            self._retries.on_start(next(reversed(self._in_flight)))
+        elif is_retry:
+            self._retries.refund()
+        return started
 
     def _is_refused_for_good(self) -> bool:
         """Return whether other instances would refuse the request as well."""
