Revert "Keep what an instance reached while it answers late"

Ten instances take the requests of all there, and those that answer late are asked again first. To ask them last is what spreads the load.

--- a/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
+++ b/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
@@ -244,7 +244,6 @@
             if (k := peer.known.get(service)) is not None
             and k.reach is not Reach.NONE
             and now_s - k.at_s <= KNOWLEDGE_RETENTION_S
-            and now_s >= peer.unresponsive_until_s
         ]
         return self._rng.sample(known, min(MAX_NAMED, len(known)))
 
@@ -337,16 +336,13 @@
             peer.avoided_until_s[service] = now_s + AVOIDANCE_S
 
     def on_no_answer(self, name: str, service: str, *, now_s: float) -> None:
-        """Leave an instance out that didn't answer in time.
-
-        What it said of a service before still counts: it may only be busy.
-        """
+        """Leave an instance out that didn't answer, and expect nothing of it."""
         peer = self._peers.get(name)
         if peer is None:
             return
         peer.unresponsive_until_s = now_s + AVOIDANCE_S
-        if service not in peer.known:
-            self._learn(name, service, Reach.NONE, at_s=now_s)
+        for known_service in {service, *peer.known}:
+            self._learn(name, known_service, Reach.NONE, at_s=now_s)
 
     def on_start(self, name: str) -> None:
         """Count a request that is forwarded to an instance."""
