Spread forwarded requests over all instances that reach a service

The first instances found were named to all others, who then asked nobody else.

Change: what others say of third instances counts only while nobody is known who can be used. While fewer than 16 are known, a round asks one of them and some others.

--- a/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
+++ b/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from itertools import chain, groupby, islice, zip_longest
+from itertools import chain, groupby, zip_longest
 
 from borageramp_core._internal.routing.model import Instance
 from borageramp_core._internal.routing.reachability import Reach
@@ -162,7 +162,6 @@
         service: str,
         *,
         min_reach: Reach,
-        count: int,
         excluded: Collection[str],
         now_s: float,
     ) -> list[PeerCandidate]:
@@ -177,8 +176,6 @@
             Name of the service.
         min_reach : Reach
             How much of it they have to reach, ``FULL`` or ``PARTIAL``.
-        count : int
-            Maximum number of instances.
         excluded : collection of str
             Names of instances to leave out.
         now_s : float
@@ -192,10 +189,11 @@
         self._rng.shuffle(candidates)
         candidates.sort(key=_ask_order)
         by_standing = groupby(candidates, key=lambda c: c.standing)
-        mixed = chain.from_iterable(
-            self._mix_data_centres(list(group)) for _, group in by_standing
+        return list(
+            chain.from_iterable(
+                self._mix_data_centres(list(group)) for _, group in by_standing
+            )
         )
-        return list(islice(mixed, count))
 
     def _candidate(
         self, peer: _Peer, service: str, *, min_reach: Reach, now_s: float
@@ -303,7 +301,9 @@
         self, name: str, service: str, report: PeerReport, *, now_s: float
     ) -> None:
         """Record what an instance said of itself, and of others."""
-        for other in report.known[:MAX_NAMED]:
+        # Else all would use the few that were found first.
+        known = () if self._knows_any(service, now_s=now_s) else report.known
+        for other in known[:MAX_NAMED]:
             self._learn(other.name, service, other.reach, at_s=now_s - other.age_s)
         peer = self._peers.get(name)
         if peer is None:
@@ -313,6 +313,14 @@
         if report.reach is Reach.NONE:
             self.avoid(name, service, now_s=now_s)
 
+    def _knows_any(self, service: str, *, now_s: float) -> bool:
+        """Return whether an instance that may be used now reached a service lately."""
+        return any(
+            k.reach is not Reach.NONE and now_s - k.at_s <= KNOWLEDGE_RETENTION_S
+            for peer in self._usable(service, excluded=(), now_s=now_s)
+            if (k := peer.known.get(service)) is not None
+        )
+
     def on_unreachable(self, name: str, service: str, *, now_s: float) -> None:
         """Record that an instance didn't reach a service for a request."""
         self._learn(name, service, Reach.NONE, at_s=now_s)
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -105,7 +105,7 @@
             idle_s=IDLE_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS, watched=True
         )
         self.search = PeerSearch(
-            selector=self._selector, ask=self._request_report, clock=clock
+            selector=self._selector, ask=self._request_report, rng=rng, clock=clock
         )
         self.forwarded = 0
 
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
@@ -1,6 +1,7 @@
 """Search for an instance that reaches the upstreams of a service."""
 
 import asyncio
+import random
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -22,6 +23,9 @@
 
 # Instances that are asked at a time whether they reach a service.
 ASK_COUNTS = (3, 6, 12)
+# Instances known to reach a service, over which requests for it are spread; while fewer
+# are known, some others are asked with each round.
+MIN_KNOWN = 16
 # Questions to instances that aren't known to reach the service, in a second and at
 # once, for all services together.
 EXPLORATION_HZ = 10.0
@@ -68,6 +72,8 @@
         Chooses the instances to ask, and one that reaches the service.
     ask : callable
         Asks an instance about a service; raises `NoReportError`.
+    rng : random.Random
+        Source of randomness.
     clock : callable
         Returns the current time in seconds.
 
@@ -84,9 +90,11 @@
         *,
         selector: PeerSelector,
         ask: Callable[[Instance, str], Awaitable[PeerReport]],
+        rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         self._selector = selector
+        self._rng = rng
         self._ask_instance = ask
         self._clock = clock
         # Full from the start, as an instance may start while it is cut off.
@@ -169,18 +177,33 @@
         candidates = self._selector.to_ask(
             service,
             min_reach=min_reach,
-            count=count,
             excluded={*excluded, *self._asks[service]},
             now_s=self._clock(),
         )
         reaching = [c for c in candidates if c.standing is Standing.REACHES]
         if reaching:
-            # Those that miss the service would only add to its load.
-            others = [c for c in candidates if c.standing is not Standing.MISSES]
+            chosen = self._among_known(candidates, reaching, count=count)
         else:
-            others = [] if under_way else candidates
-        started = self._start_asks(others, service, tally=tally)
-        return under_way | started
+            chosen = [] if under_way else candidates[:count]
+        return under_way | self._start_asks(chosen, service, tally=tally)
+
+    def _among_known(
+        self,
+        candidates: list[PeerCandidate],
+        reaching: list[PeerCandidate],
+        *,
+        count: int,
+    ) -> list[PeerCandidate]:
+        """Return some that reach a service, and others while few of these are known."""
+        others = [
+            c
+            for c in candidates
+            if c.standing not in (Standing.REACHES, Standing.MISSES)
+        ]
+        self._rng.shuffle(others)
+        few = len(reaching) < MIN_KNOWN
+        known = reaching[: 1 if few and others else count]
+        return known + others[: count - len(known)]
 
     def _start_asks(
         self, candidates: Iterable[PeerCandidate], service: str, *, tally: _Tally
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -19,6 +19,7 @@
     PeerHandler,
     ReachabilityCheck,
 )
+from borageramp_entry._internal.routed.forwarding_messages import has_terms
 from borageramp_entry._internal.routed.peer_forwarding import PeerForwarder
 from borageramp_entry._internal.routed.request import RoutedRequest
 from borageramp_entry._internal.serving.upstreams import (
@@ -144,8 +145,10 @@
     def __init__(self, handler: HttpHandler) -> None:
         self._handler = handler
         self.silent = False
+        self.forwarded_count = 0
 
     async def serve(self, request: HttpRequest) -> None:
+        self.forwarded_count += has_terms(request.headers)
         if self.silent:
             await asyncio.sleep(3600)
         await self._handler.serve(request)
@@ -215,6 +218,11 @@
             peer_address=f"127.0.0.1:{port}",
         )
 
+    @property
+    def forwarded_count(self) -> int:
+        """Requests of other instances that have arrived."""
+        return self.handler.forwarded_count
+
     def break_connections(self) -> None:
         """Close all connections of other instances at once."""
         for connection in self._connections:
--- a/tests/lib/simulated_peers.py
+++ b/tests/lib/simulated_peers.py
@@ -114,8 +114,8 @@
         Names of the instances that were cut off last.
     cut_at_s : float
         When that was, in simulated time.
-    questions_noticed : dict of str to int
-        The value of ``questions`` once the cut has been noticed, for tests to set.
+    questions_noticed, taken_noticed : dict of str to int
+        Questions asked, and requests of others taken, when `on_noticed` was called.
     """
 
     def __init__(self, size: int, *, seed: int) -> None:
@@ -125,6 +125,7 @@
         self.cut_off_names: frozenset[str] = frozenset()
         self.cut_at_s = float("inf")
         self.questions_noticed: dict[str, int] = {}
+        self.taken_noticed: dict[str, int] = {}
         by_address: dict[str, Member] = {}
         self.members = [
             Member(
@@ -166,6 +167,11 @@
         """Questions to others whether they reach a service, by instance."""
         return {m.name: m.forwarder.search.asked for m in self.members}
 
+    def on_noticed(self) -> None:
+        """Record what was counted until a cut has been noticed."""
+        self.questions_noticed = self.questions
+        self.taken_noticed = {m.name: m.forwarded_count for m in self.members}
+
     async def receive_requests(self, *, rate_hz: float, for_s: float) -> None:
         """Let requests arrive at each instance, and wait for their ends."""
         async with asyncio.TaskGroup() as tasks:
--- a/tests/routed/test_large_cuts.py
+++ b/tests/routed/test_large_cuts.py
@@ -21,6 +21,8 @@
 CALM_S, CUT_S = 2.0, 9.0
 # The users count as a fault more than one in 50 first attempts that fail.
 MIN_SHARE_SERVED = 49 / 50
+# Most requests of others that one instance takes, over the mean.
+MAX_SHARE_RATIO = 3.0
 # Time within which a request that can't be served is refused: an eighth of the shortest
 # latency objective.
 MAX_REFUSAL_S = 0.03
@@ -68,7 +70,7 @@
         await fleet.receive_requests(rate_hz=rate_hz, for_s=CALM_S)
         fleet.cut_off(cut_off)
         await fleet.receive_requests(rate_hz=rate_hz, for_s=notice_s)
-        fleet.questions_noticed = fleet.questions
+        fleet.on_noticed()
         await fleet.receive_requests(rate_hz=rate_hz, for_s=cut_s - notice_s)
     return fleet
 
@@ -88,6 +90,25 @@
     assert served >= MIN_SHARE_SERVED * len(outcomes)
 
 
+# Guards against a few instances that take the requests of all that are cut off, while
+# others have room.
+@pytest.mark.parametrize(
+    "shape",
+    [one_data_centre, all_but_one_data_centre],
+    ids=lambda shape: shape.__name__,
+)
+def test_the_requests_of_cut_off_instances_are_spread_over_the_others(
+    shape: Shape,
+) -> None:
+    fleet = run_simulated(run_cut(136, 3.0, shape))
+    taken = [
+        member.forwarded_count - fleet.taken_noticed[member.name]
+        for member in fleet.members
+        if member.name not in fleet.cut_off_names
+    ]
+    assert max(taken) <= MAX_SHARE_RATIO * statistics.mean(taken)
+
+
 # Guards against questions that grow with the fleet or its load while nobody reaches the
 # upstreams, and requests that are held meanwhile.
 @pytest.mark.parametrize(("size", "rate_hz"), [(14, 5.0), (136, 1.5)])
--- a/tests/routed/test_peer_search.py
+++ b/tests/routed/test_peer_search.py
@@ -32,6 +32,7 @@
         return PeerSearch(
             selector=self.selector,
             ask=self._ask,
+            rng=random.Random(1),
             clock=asyncio.get_running_loop().time,
         )
 
--- a/tests/routed/test_peer_selection.py
+++ b/tests/routed/test_peer_selection.py
@@ -42,10 +42,8 @@
     count: int = 9,
     now_s: float = 0.0,
 ) -> list[str]:
-    candidates = selector.to_ask(
-        service, min_reach=min_reach, count=count, excluded=(), now_s=now_s
-    )
-    return [c.instance.name for c in candidates]
+    candidates = selector.to_ask(service, min_reach=min_reach, excluded=(), now_s=now_s)
+    return [c.instance.name for c in candidates[:count]]
 
 
 def asked(selector: PeerSelector, *, count: int = 9, now_s: float = 0.0) -> set[str]:
@@ -129,6 +127,22 @@
     assert selector.known_reaching(SERVICE, now_s=4.0) == []
 
 
+# Guards against a fleet that uses only the few instances that were found first.
+def test_hearsay_counts_only_while_nobody_is_known_who_can_be_used() -> None:
+    selector = make_selector(*(make_instance(f"p{i}") for i in range(4)))
+    report(selector, "p1", Reach.FULL)
+    hearsay = PeerReport(
+        reach=Reach.NONE,
+        in_flight=0,
+        known=(KnownReach(name="p3", reach=Reach.FULL, age_s=0.1),),
+    )
+    selector.on_report("p2", SERVICE, hearsay, now_s=1.0)
+    assert [k.name for k in selector.known_reaching(SERVICE, now_s=1.0)] == ["p1"]
+    selector.avoid("p1", SERVICE, now_s=1.0)
+    selector.on_report("p2", SERVICE, hearsay, now_s=1.5)
+    assert len(selector.known_reaching(SERVICE, now_s=1.5)) == 2
+
+
 def test_an_instance_that_missed_the_service_is_asked_again_on_newer_hearsay() -> None:
     selector = make_selector(make_instance("p1"), make_instance("p2"))
     report(selector, "p2", Reach.NONE, at_s=3.0)
