--- a/packages/entry/src/borageramp_entry/_internal/routed/execution.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/execution.py
@@ -288,7 +288,7 @@
         # What is unreachable for every instance is not passed around.
         min_reach = Reach.PARTIAL if reach is Reach.NONE else Reach.FULL
         peer = await self._forwarder.find(
-            self._caller.service,
+            self._caller,
             min_reach=min_reach,
             excluded=self._asked_peers,
             # An answer of an attempt under way is not to wait for a hedge.
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -115,15 +115,22 @@
 
     async def find(
         self,
-        service: str,
+        request: CallerRequest,
         *,
         min_reach: Reach,
         excluded: Collection[str],
         max_rounds: int | None = None,
     ) -> Instance | None:
-        """Return an instance that reaches a service; see :meth:`PeerSearch.find`."""
+        """Return an instance that reaches the service of a request.
+
+        See :meth:`PeerSearch.find` for the other parameters.
+        """
         return await self.search.find(
-            service, min_reach=min_reach, excluded=excluded, max_rounds=max_rounds
+            request.service,
+            request_id=request.request_id,
+            min_reach=min_reach,
+            excluded=excluded,
+            max_rounds=max_rounds,
         )
 
     def known_reaching(self, service: str) -> list[KnownReach]:
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
@@ -42,6 +42,7 @@
 class _Tally:
     """What one search has asked and heard, for its log line."""
 
+    request_id: str
     service: str
     started_at_s: float
     data_centres: Counter[str] = field(default_factory=Counter)
@@ -112,6 +113,7 @@
         self,
         service: str,
         *,
+        request_id: str,
         min_reach: Reach,
         excluded: Collection[str],
         max_rounds: int | None = None,
@@ -122,6 +124,8 @@
         ----------
         service : str
             Name of the service.
+        request_id : str
+            Identifier of the request, for the log.
         min_reach : Reach
             How much of it the instance has to reach.
         excluded : collection of str
@@ -139,7 +143,12 @@
         peer = choose()
         if peer is not None:
             return peer
-        tally = _Tally(service=service, started_at_s=self._clock(), ended="limit")
+        tally = _Tally(
+            request_id=request_id,
+            service=service,
+            started_at_s=self._clock(),
+            ended="limit",
+        )
         for count in ASK_COUNTS[:max_rounds]:
             pending = self._start_round(
                 service,
@@ -245,6 +254,7 @@
         self.failed += peer is None
         _log.info(
             "search ended",
+            request_id=tally.request_id,
             service=tally.service,
             instance=peer.name if peer is not None else None,
             ended=tally.ended,
--- a/tests/routed/test_peer_search.py
+++ b/tests/routed/test_peer_search.py
@@ -14,7 +14,11 @@
 
 async def find(search: PeerSearch, **kwargs: int) -> Instance | None:
     return await search.find(
-        SERVICE, min_reach=Reach.PARTIAL, excluded=frozenset(), **kwargs
+        SERVICE,
+        request_id="r1",
+        min_reach=Reach.PARTIAL,
+        excluded=frozenset(),
+        **kwargs,
     )
 
 
@@ -56,6 +60,7 @@
         with capture_logs() as lines:
             assert await find(search) is None
         (line,) = (entry for entry in lines if entry["event"] == "search ended")
+        assert line["request_id"] == "r1"
         assert line["ended"] == "nobody_left" and line["instance"] is None
         assert sum(line["asked"].values()) == 3 and line["asked"][AWAY] == 1
         assert (line["not_reaching"], line["unanswered"]) == (2, 1)
