Ask all known instances of a round beside those that are tried anew

Cause: a round asked one known instance in place of three while fewer than 16 were known. With ten left, these are busy and answer late at times, and the others asked are cut off and wait for their own probes.

Change: a round asks as many known instances as before, and two others besides.

--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
@@ -24,8 +24,9 @@
 # Instances that are asked at a time whether they reach a service.
 ASK_COUNTS = (3, 6, 12)
 # Instances known to reach a service, over which requests for it are spread; while fewer
-# are known, some others are asked with each round.
+# are known, each round asks some others as well.
 MIN_KNOWN = 16
+EXTRA_ASK_COUNT = 2
 # Questions to instances that aren't known to reach the service, in a second and at
 # once, for all services together.
 EXPLORATION_HZ = 10.0
@@ -210,9 +211,9 @@
             if c.standing not in (Standing.REACHES, Standing.MISSES)
         ]
         self._rng.shuffle(others)
-        few = len(reaching) < MIN_KNOWN
-        known = reaching[: 1 if few and others else count]
-        return known + others[: count - len(known)]
+        known = reaching[:count]
+        min_others = EXTRA_ASK_COUNT if len(reaching) < MIN_KNOWN else 0
+        return known + others[: max(min_others, count - len(known))]
 
     def _start_asks(
         self, candidates: Iterable[PeerCandidate], service: str, *, tally: _Tally
