Look for an instance only when one that reaches the service has answered

Cause: all requests that search together looked at all instances after each answer, and each round weighed what is known of every service for every instance.

Change: a search looks again only after an answer that reaches the service; what is known of other services is looked at only if nothing is of this one. The wait for the answers of a round is a function of its own. No decision changes.

--- a/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
+++ b/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
@@ -198,25 +198,32 @@
     def _candidate(
         self, peer: _Peer, service: str, *, min_reach: Reach, now_s: float
     ) -> PeerCandidate:
-        recent = {
-            name: knowledge
-            for name, knowledge in peer.known.items()
-            if now_s - knowledge.at_s <= KNOWLEDGE_RETENTION_S
-        }
-        own = recent.get(service)
-        if own is not None:
+        own = peer.known.get(service)
+        if own is not None and now_s - own.at_s <= KNOWLEDGE_RETENTION_S:
             reaches = own.reach.suffices(min_reach)
-            standing = Standing.REACHES if reaches else Standing.MISSES
-        elif any(k.reach.suffices(min_reach) for k in recent.values()):
-            standing = Standing.REACHES_OTHERS
-        else:
-            standing = Standing.MISSES_OTHERS if recent else Standing.UNKNOWN
+            return PeerCandidate(
+                instance=peer.instance,
+                standing=Standing.REACHES if reaches else Standing.MISSES,
+                known_at_s=own.at_s,
+            )
         return PeerCandidate(
             instance=peer.instance,
-            standing=standing,
-            known_at_s=own.at_s if own is not None else float("-inf"),
+            standing=self._standing_elsewhere(peer, min_reach=min_reach, now_s=now_s),
+            known_at_s=float("-inf"),
         )
 
+    def _standing_elsewhere(
+        self, peer: _Peer, *, min_reach: Reach, now_s: float
+    ) -> Standing:
+        """Return what an instance promises by what it said of other services."""
+        standing = Standing.UNKNOWN
+        for knowledge in peer.known.values():
+            if now_s - knowledge.at_s <= KNOWLEDGE_RETENTION_S:
+                if knowledge.reach.suffices(min_reach):
+                    return Standing.REACHES_OTHERS
+                standing = Standing.MISSES_OTHERS
+        return standing
+
     def _mix_data_centres(
         self, candidates: list[PeerCandidate]
     ) -> Iterable[PeerCandidate]:
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_search.py
@@ -52,7 +52,9 @@
     unanswered: int = 0
     ended: str = "found"
 
-    def add_ended(self, tasks: Collection[AskTask]) -> None:
+    def add_ended(self, tasks: Collection[AskTask]) -> bool:
+        """Count answers; return whether any instance reaches the service."""
+        reaching_before = self.reaching
         for task in tasks:
             report = None if task.cancelled() else task.result()
             if report is None:
@@ -61,6 +63,7 @@
                 self.not_reaching += 1
             else:
                 self.reaching += 1
+        return self.reaching > reaching_before
 
 
 class PeerSearch:
@@ -161,12 +164,7 @@
             if not pending:
                 tally.ended = "nobody_left"
                 break
-            while pending and peer is None:
-                done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                tally.add_ended(done)
-                peer = choose()
+            peer = await _wait_for_choice(pending, choose, tally=tally)
             if peer is not None:
                 tally.ended = "found"
                 break
@@ -271,3 +269,14 @@
         for asks in self._asks.values():
             for task in asks.values():
                 task.cancel()
+
+
+async def _wait_for_choice(
+    pending: set[AskTask], choose: Callable[[], Instance | None], *, tally: _Tally
+) -> Instance | None:
+    """Return the first instance that can be chosen while questions are answered."""
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        if tally.add_ended(done) and (peer := choose()) is not None:
+            return peer
+    return None
