--- a/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
+++ b/packages/core/src/borageramp_core/_internal/routing/peer_selection.py
@@ -8,7 +8,6 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from itertools import chain, groupby, zip_longest
 
 from borageramp_core._internal.routing.model import Instance
 from borageramp_core._internal.routing.reachability import Reach
@@ -188,12 +187,13 @@
         ]
         self._rng.shuffle(candidates)
         candidates.sort(key=_ask_order)
-        by_standing = groupby(candidates, key=lambda c: c.standing)
-        return list(
-            chain.from_iterable(
-                self._mix_data_centres(list(group)) for _, group in by_standing
+        return [
+            candidate
+            for standing in Standing
+            for candidate in self._mix_data_centres(
+                [c for c in candidates if c.standing is standing]
             )
-        )
+        ]
 
     def _candidate(
         self, peer: _Peer, service: str, *, min_reach: Reach, now_s: float
@@ -229,9 +229,9 @@
     ) -> Iterable[PeerCandidate]:
         local = [c for c in candidates if self._is_local(c.instance)]
         remote = [c for c in candidates if not self._is_local(c.instance)]
-        columns = [local[i::LOCAL_PER_REMOTE] for i in range(LOCAL_PER_REMOTE)]
-        for row in zip_longest(*columns, remote):
-            yield from (candidate for candidate in row if candidate is not None)
+        for i in range(max(len(local), len(remote))):
+            yield from local[LOCAL_PER_REMOTE * i : LOCAL_PER_REMOTE * (i + 1)]
+            yield from remote[i : i + 1]
 
     def known_reaching(self, service: str, *, now_s: float) -> list[KnownReach]:
         """Return a few instances that lately said that they reach a service.
