Show that the directory names a lost machine after an outage of the store

Cause: once the store answers again, the directory forgets which registered instances it found gone, and trusts a list on which leases that paused in the outage keep them for up to 4 s more.

Nothing is fixed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -164,7 +164,9 @@
     Attributes
     ----------
     silent : bool
-        Whether it is down: calls are not answered. Leases pause meanwhile.
+        Whether it is down and answers no calls. Leases pause meanwhile.
+    busy : bool
+        Whether it is down and answers all calls with 503. Leases pause meanwhile.
     """
 
     PAGE = 50
@@ -173,6 +175,7 @@
     def __init__(self, record):
         super().__init__()
         self.silent = False
+        self.busy = False
         self._record = record
         self._items = {}
         self._events = []
@@ -180,8 +183,6 @@
         self._forgotten_rev = 0
         self._leases = {}
         self._changed = asyncio.Event()
-        self._restored = asyncio.Event()
-        self._restored.set()
         self.calls = []
 
     @property
@@ -213,33 +214,47 @@
         self._events.append((time.monotonic(), event))
         while time.monotonic() - self._events[0][0] > self.RETENTION_S:
             self._forgotten_rev = self._events.pop(0)[1]["revision"]
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake_watches()
 
-    def go_down(self):
-        """Answer no more calls, also none of those that wait."""
-        self.silent = True
-        self._restored.clear()
-        self._changed.set()
-        self._record.add("the store is down: calls get no answer")
+    def go_down(self, *, busy=False):
+        """Go down: answer no more calls, or all of them with 503."""
+        self.silent, self.busy = not busy, busy
+        self._wake_watches()
+        how = "calls are answered 503" if busy else "calls get no answer"
+        self._record.add(f"the store is down: {how}")
 
     def come_back(self):
         """Answer calls again."""
-        self.silent = False
-        self._restored.set()
+        self.silent = self.busy = False
         self._record.add("the store is back")
 
+    def _wake_watches(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def expire_leases(self):
         """End leases when their time is over, while the store is up."""
         step_s = 0.05
         while True:
             await asyncio.sleep(step_s)
             for lease, left in list(self._leases.items()):
-                if not self.silent:
+                if not self.silent and not self.busy:
                     left[1] -= step_s
                 if left[1] <= 0:
                     self._end_lease(lease)
 
+    def renewals(self, name):
+        """Return how often the lease of the item that a machine has put was renewed.
+
+        Parameters
+        ----------
+        name : str
+            Name of the machine, which ends the key of the item.
+        """
+        leases = {i["lease"] for k, i in self._items.items() if k.endswith(name)}
+        paths = {f"/-/kv-keep/{lease}" for lease in leases if lease}
+        return sum(path in paths for _, _, path in self.calls)
+
     def _end_lease(self, lease):
         del self._leases[lease]
         for key in [k for k, i in self._items.items() if i["lease"] == lease]:
@@ -254,9 +269,13 @@
                 # A call that was lost is never answered, nor any later one there.
                 await asyncio.sleep(3600)
             body = json.loads(call.body) if call.body else None
-            status, reply = await self._answer(call.first[0], call.first[1], body)
+            status, reply = 503, {}
+            if not self.busy:
+                status, reply = await self._answer(call.first[0], call.first[1], body)
             if self.silent:
                 await asyncio.sleep(3600)
+            if self.busy:
+                status, reply = 503, {}
             await asyncio.sleep(0.004)
             data = json.dumps(reply).encode()
             headers = {"content-type": "application/json"}
@@ -501,7 +520,7 @@
         self.name = name
         self.front = free_port()
         self._readiness = free_port()
-        self._directory = free_port()
+        self.directory = free_port()
         self._record = record
         self._log_path = folder / f"{name}.log"
         self._boot_path = folder / f"{name}.json"
@@ -519,7 +538,7 @@
             "listen": {
                 "front": f"{LOOPBACK}:{self.front}",
                 "readiness": f"{LOOPBACK}:{self._readiness}",
-                "directory": f"{LOOPBACK}:{self._directory}",
+                "directory": f"{LOOPBACK}:{self.directory}",
             },
             "internal_ports": [free_port(), free_port()],
             "seeds": [],
