Read a connection on after an upload that filled its buffer

Cause: the upload paused its connection when its buffer was full, and resumed it only when a reader waited for more. If the end of the body came with the bytes that filled the buffer, nobody waited, and the named pause outlived its request. The same for uploads forwarded by another instance.

Change: whether a connection is read is computed from what it holds now, so that no pause can outlive its request. Also: a connection that ends reads on what still arrives, and is not closed at once while requests are left unread.

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -72,7 +72,7 @@
         self._task: asyncio.Task[None] | None = None
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._idle_since_s = self._loop.time()
-        self._pauses: set[str] = set()
+        self._paused = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._refused = False
@@ -98,8 +98,7 @@
                 return
             header_timeout_s = self._limits().header_timeout_s
             self._set_timer("head", header_timeout_s, self._on_late_head)
-        if self._waiting:
-            self._pause("waiting")
+        self._update_reading()
 
     def _feed(self, data: bytes) -> None:
         while data and not self._ending:
@@ -160,30 +159,32 @@
             self._transport.close()
         return False
 
-    def _pause(self, reason: str) -> None:
-        if not self._pauses and self._transport is not None:
-            self._transport.pause_reading()
-        self._pauses.add(reason)
+    @property
+    def _holds_enough(self) -> bool:
+        """Whether nothing more is to be read for now."""
+        if self._ending:
+            # What still arrives is dropped.
+            return False
+        upload = self._arriving.upload if self._arriving is not None else None
+        return (
+            self._refused
+            or bool(self._waiting)
+            or (upload is not None and upload.is_full)
+        )
 
-    def _resume(self, reason: str) -> None:
-        if reason not in self._pauses:
+    def _update_reading(self) -> None:
+        """Read on, or stop reading, as what has arrived so far requires."""
+        paused = self._holds_enough
+        if paused == self._paused or self._transport is None:
             return
-        self._pauses.discard(reason)
-        if (
-            not self._pauses
-            and self._transport is not None
-            and not self._transport.is_closing()
-        ):
+        if self._transport.is_closing():
+            return
+        self._paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
-    def pause_reading(self) -> None:
-        """Stop reading while an upload holds enough."""
-        self._pause("upload")
-
-    def resume_reading(self) -> None:
-        """Read on once it has room."""
-        self._resume("upload")
-
     # Times.
 
     def _set_timer(self, name: str, after_s: float, act: Callable[[], None]) -> None:
@@ -299,7 +300,8 @@
         """Have a request served before all of its body is there."""
         length = request.header("content-length")
         request.upload = Upload(
-            length=int(length) if length is not None else None, connection=self
+            length=int(length) if length is not None else None,
+            on_room=self._update_reading,
         )
         request.body = b"".join(self._body)
         request.upload.on_data(request.body)
@@ -358,8 +360,7 @@
         self._idle_since_s = self._loop.time()
         if self._waiting:
             self._take(self._waiting.popleft())
-        if not self._waiting:
-            self._resume("waiting")
+        self._update_reading()
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Refuse what is no request, and end the connection."""
@@ -375,7 +376,7 @@
         else:
             self._served.keep_alive = False
             self._waiting.clear()
-            self._pause("refused")
+            self._update_reading()
 
     def _end(self) -> None:
         """Close the connection, once the caller has read what it was sent.
@@ -385,11 +386,11 @@
         self._ending = True
         if self._transport is None or self._transport.is_closing():
             return
-        if self._arriving is None and not self._in_head:
+        if self._arriving is None and not self._in_head and not self._paused:
             self._transport.close()
             return
         if self._arriving is not None and self._arriving.upload is not None:
             self._arriving.upload.drop_rest()
-        self._pauses.clear()
+        self._update_reading()
         self._transport.write_eof()
         self._set_timer("rest", REST_TIMEOUT_S, self._transport.abort)
--- a/packages/entry/src/borageramp_entry/_internal/border/uploads.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/uploads.py
@@ -6,27 +6,17 @@
 
 import asyncio
 from collections import deque
-from typing import Protocol
+from collections.abc import Callable
 
 from borageramp_entry._internal.serving.requests import BodyCutError
 
-__all__ = ["Pausable", "Upload"]
+__all__ = ["Upload"]
 
 # What is held of a body: enough that most can be sent again after an upstream
 # turned them away, and little for hundreds of uploads at once.
 MAX_HELD_BYTES = 262_144
 
 
-class Pausable(Protocol):
-    """A connection whose reading can be paused."""
-
-    def pause_reading(self) -> None:
-        """Stop reading."""
-
-    def resume_reading(self) -> None:
-        """Read on."""
-
-
 class Upload:
     """A body while it arrives.
 
@@ -34,8 +24,8 @@
     ----------
     length : int or None
         Its length in bytes; ``None`` if the caller didn't say.
-    connection : Pausable
-        The caller's connection, which is paused while too much is held.
+    on_room : callable
+        Called when it takes in more again after it was full.
 
     Attributes
     ----------
@@ -43,16 +33,15 @@
         Whether all of it has arrived.
     """
 
-    def __init__(self, *, length: int | None, connection: Pausable) -> None:
+    def __init__(self, *, length: int | None, on_room: Callable[[], None]) -> None:
         self.length = length
         self.ended = False
-        self._connection = connection
+        self._on_room = on_room
         self._parts: deque[bytes] = deque()
         self._held_bytes = 0
         self._dropped_bytes = 0
         self._cut = False
         self._unwanted = False
-        self._paused = False
         self._arrived = asyncio.Event()
 
     @property
@@ -60,15 +49,17 @@
         """Whether it can still be read from its start."""
         return self._dropped_bytes == 0 and not self._unwanted
 
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing more is to arrive until some of it was read."""
+        return self._held_bytes >= MAX_HELD_BYTES
+
     def on_data(self, data: bytes) -> None:
         """Take in the next part."""
         if self._unwanted:
             return
         self._parts.append(data)
         self._held_bytes += len(data)
-        if self._held_bytes >= MAX_HELD_BYTES and not self._paused:
-            self._paused = True
-            self._connection.pause_reading()
         self._arrived.set()
 
     def on_end(self) -> None:
@@ -85,13 +76,9 @@
         """Let the rest arrive for nobody."""
         self._unwanted = True
         self._parts.clear()
+        self._held_bytes = 0
         self._arrived.set()
-        self._resume()
-
-    def _resume(self) -> None:
-        if self._paused:
-            self._paused = False
-            self._connection.resume_reading()
+        self._on_room()
 
     async def read(self, offset: int) -> bytes:
         """Return the next part from an offset on; empty at the end.
@@ -125,10 +112,10 @@
 
     def _make_room(self, offset: int) -> None:
         """Give up what was read, if the caller waits for room."""
-        if not self._paused:
+        if not self.is_full:
             return
         while self._parts and self._dropped_bytes + len(self._parts[0]) <= offset:
             part = self._parts.popleft()
             self._dropped_bytes += len(part)
             self._held_bytes -= len(part)
-        self._resume()
+        self._on_room()
--- a/tests/routed/test_forwarding.py
+++ b/tests/routed/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from borageramp_core import AttemptResult, Reason, RefusedError, Verdict
+from borageramp_entry._internal.border.uploads import MAX_HELD_BYTES
 from borageramp_entry._internal.routed.forwarding_messages import (
     FORWARDED_HEADER,
     REFUSAL_HEADER,
@@ -18,7 +19,7 @@
 )
 from borageramp_entry.routed import HttpClient, split_ip_address
 from tests.lib.dispatching import make_upstream_answer
-from tests.lib.forwarding import Member, make_request, running_members
+from tests.lib.forwarding import Member, make_request, read_all, running_members
 
 LARGE_BODY = b"x" * 3_000_000
 # Longest time until upstreams notice that a caller has left.
@@ -281,6 +282,28 @@
     play(test)
 
 
+# Guards against connections between instances that are read no more after an upload
+# that filled its buffer.
+def test_a_request_after_a_forwarded_upload_that_filled_its_buffer_is_served() -> None:
+    async def test(a: Member, b: Member) -> None:
+        async def answer(request: Any) -> UpstreamAnswer:
+            # All of the body has arrived when the upstream begins to read it.
+            await asyncio.sleep(0.1)
+            b.client.bodies.append(await read_all(request))
+            return make_upstream_answer()
+
+        body = b"x" * MAX_HELD_BYTES
+        b.client.reads_bodies = False
+        b.client.answer = answer
+        a.cut_off()
+        await a.run(make_request(body=body[:65_536], upload=_Upload(body)))
+        answered = await a.run(make_request())
+        assert answered.body == b"body" and b.client.bodies == [body, b"content"]
+        assert b.forwarded_count == 2
+
+    play(test)
+
+
 def test_a_large_answer_is_passed_on_while_it_arrives() -> None:
     async def test(a: Member, b: Member) -> None:
         async def answer(request: Any) -> UpstreamAnswer:
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -21,16 +21,8 @@
 ENDS = (b"END", b"0\r\n\r\n")
 
 
-class PausableConnection:
-    """A connection that records whether reading is paused."""
-
-    paused = False
-
-    def pause_reading(self) -> None:
-        self.paused = True
-
-    def resume_reading(self) -> None:
-        self.paused = False
+def make_upload(*, length: int | None) -> Upload:
+    return Upload(length=length, on_room=lambda: None)
 
 
 def run_with_timeout(test: Any) -> None:
@@ -43,7 +35,7 @@
 
 def test_a_body_is_read_while_it_arrives_and_again_from_its_start() -> None:
     async def test() -> None:
-        upload = Upload(length=4, connection=PausableConnection())
+        upload = make_upload(length=4)
         upload.on_data(b"ab")
         assert await upload.read(0) == b"ab"
         reading = asyncio.ensure_future(upload.read(2))
@@ -59,17 +51,18 @@
 
 def test_reading_pauses_while_the_buffer_is_full() -> None:
     async def test() -> None:
-        caller = PausableConnection()
-        upload = Upload(length=None, connection=caller)
-        while not caller.paused:
+        read_on = asyncio.Event()
+        upload = Upload(length=None, on_room=read_on.set)
+        while not upload.is_full:
             upload.on_data(PART)
         offset = 0
         while offset < MAX_HELD_BYTES:
             offset += len(await upload.read(offset))
+        assert upload.is_full and not read_on.is_set()
         # A waiting reader needs more data, so the caller must be read again.
         reading = asyncio.ensure_future(upload.read(offset))
         await asyncio.sleep(0)
-        assert not caller.paused and not upload.repeatable
+        assert read_on.is_set() and not upload.is_full and not upload.repeatable
         with pytest.raises(BodyCutError):
             await upload.read(0)
         reading.cancel()
@@ -79,7 +72,7 @@
 
 def test_a_disconnect_of_the_caller_ends_a_pending_read() -> None:
     async def test() -> None:
-        upload = Upload(length=9, connection=PausableConnection())
+        upload = make_upload(length=9)
         reading = asyncio.ensure_future(upload.read(0))
         await asyncio.sleep(0)
         upload.on_cut()
@@ -136,6 +129,79 @@
     run_connection(test, answers=False)
 
 
+NEXT_REQUEST = b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n"
+FULL_BODY = PART * (MAX_HELD_BYTES // len(PART) + 1)
+
+
+# Guards against connections that are read no more after an upload that filled its
+# buffer, so that the next request there is never answered.
+@pytest.mark.parametrize("end", ["read", "unread", "refused"])
+def test_the_request_after_an_upload_that_filled_its_buffer_is_served(
+    end: str,
+) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(len(FULL_BODY)))
+        await connection.send(FULL_BODY[:-1])
+        (request,) = connection.requests
+        assert request.upload is not None and connection.transport.paused
+        # The system may hold the end of the body already, or a part that was read.
+        connection.protocol.data_received(FULL_BODY[-1:])
+        if end == "read":
+            read = b""
+            while part := await request.upload.read(len(read)):
+                read += part
+            assert read == FULL_BODY
+        request.answer(503 if end == "refused" else 200, (), b"answer")
+        await asyncio.sleep(0.02)
+        assert not connection.transport.paused
+        await connection.send(NEXT_REQUEST)
+        assert [r.path for r in connection.requests] == ["/u", "/next"]
+
+    run_connection(test, answers=False)
+
+
+# Guards against a pause that outlives its request if the request is refused before
+# its body has arrived.
+def test_the_request_after_a_refused_upload_with_a_full_buffer_is_served() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(2 * len(FULL_BODY)))
+        await connection.send(FULL_BODY)
+        assert connection.transport.paused
+        connection.requests[0].answer(503, (), b"refused")
+        assert not connection.transport.paused
+        await connection.send(FULL_BODY)
+        await connection.send(NEXT_REQUEST)
+        assert [r.path for r in connection.requests] == ["/u", "/next"]
+
+    run_connection(test, answers=False)
+
+
+# Guards against bytes that stay unread until the time for them is over.
+def test_a_connection_that_ends_reads_what_still_arrives() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(2 * len(FULL_BODY)))
+        await connection.send(FULL_BODY)
+        assert connection.transport.paused
+        connection.requests[0].answer(503, (), b"refused", last=True)
+        assert connection.transport.ended and not connection.transport.paused
+
+    run_connection(test, answers=False)
+
+
+# Guards against answers that are lost as their connection is closed with unread bytes.
+def test_a_connection_with_requests_that_are_not_read_ends_after_its_caller() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(NEXT_REQUEST * 2)
+        assert connection.transport.paused
+        connection.requests[0].answer(200, (), b"mine", last=True)
+        assert connection.transport.ended and not connection.transport.closed
+        assert not connection.transport.paused
+        await asyncio.sleep(REST_TIMEOUT_S + 0.1)
+        assert connection.transport.closed and len(connection.requests) == 1
+
+    run_connection(test, answers=False)
+
+
 def test_a_refusal_is_sent_before_the_rest_of_the_body() -> None:
     async def test(connection: CallerConnection) -> None:
         await connection.send(head(len(PART) * 8))
@@ -259,7 +325,7 @@
 
     async def test(client: HttpClient, port: int) -> None:
         for _ in range(2):
-            upload = Upload(length=length, connection=PausableConnection())
+            upload = make_upload(length=length)
             sending = asyncio.ensure_future(send(client, port, upload))
             for _ in range(7):
                 upload.on_data(PART)
@@ -281,7 +347,7 @@
     server = UploadServer(answer_after_bytes=20_000)
 
     async def test(client: HttpClient, port: int) -> None:
-        upload = Upload(length=8 * len(PART), connection=PausableConnection())
+        upload = make_upload(length=8 * len(PART))
         upload.on_data(PART * 2)
         response = await send(client, port, upload)
         assert await response.read() == b"ok"
@@ -302,7 +368,7 @@
     server = UploadServer()
 
     async def test(client: HttpClient, port: int) -> None:
-        upload = Upload(length=8 * len(PART), connection=PausableConnection())
+        upload = make_upload(length=8 * len(PART))
         upload.on_data(PART * (9 if end == "long" else 2))
         sending = asyncio.ensure_future(send(client, port, upload))
         await asyncio.sleep(0.05)
