End a planned stop only when answers were sent

Cause: a connection counted as idle when its answer had been handed to the transport. The stop then ended the loop, which dropped what the transport held. Answers to other instances weren't counted either, and the site of the product's own interface had the same fault.

Change: a connection is busy until its transport has sent everything; the stop asks the servers for callers, other instances, directory and checks. What is unsent at the end of the time for a stop is reset and logged (cut_answers).

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -146,18 +146,30 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller's system has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def close_if_idle(self) -> bool:
-        """Close the connection unless it has a request; tell whether it has."""
-        if self._ending:
-            return False
-        if self._served is not None or self._waiting or self._arriving is not None:
-            return True
-        if self._in_head:
+        """Close the connection unless it has a request; tell whether it is busy.
+
+        It is busy until all of its last answer was sent.
+        """
+        has_request = (
+            self._served is not None
+            or bool(self._waiting)
+            or self._arriving is not None
+            or self._in_head
+        )
+        if has_request and not self._ending:
             return True
-        if self._transport is not None:
+        if self._transport is not None and not self._ending:
             self._ending = True
             self._transport.close()
-        return False
+        return self.unsent_bytes > 0
 
     @property
     def _holds_enough(self) -> bool:
--- a/packages/entry/src/borageramp_entry/_internal/border/http.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/http.py
@@ -107,16 +107,19 @@
         return
 
     def close_idle(self) -> int:
-        """Close connections without a request; return how many are busy."""
-        busy = 0
+        """Close connections without a request; return how many are left.
+
+        A connection is left until all of its last answer was sent.
+        """
+        left = 0
         for channel in list(self._channels):
-            if channel.transport is None:
+            transport = cast(Any, channel.transport)
+            if transport is None or not transport.connected:
                 continue
-            if channel.requests:
-                busy += 1
-            else:
+            left += 1
+            if not channel.requests:
                 channel.loseConnection()
-        return busy
+        return left
 
 
 class Leaf(Resource):
--- a/packages/entry/src/borageramp_entry/_internal/border/server.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/server.py
@@ -37,8 +37,26 @@
         self._connections.add(connection)
         return connection
 
+    @property
+    def sending_count(self) -> int:
+        """Number of connections whose answers are not sent in full."""
+        return sum(c.unsent_bytes > 0 for c in self._connections)
+
+    def abort_sending(self) -> int:
+        """End connections whose answers are not sent in full; return how many.
+
+        Unlike a close, this shows callers of HTTP/1.0 that an answer was cut.
+        """
+        sending = [c for c in self._connections if c.unsent_bytes > 0]
+        for connection in sending:
+            connection.abort()
+        return len(sending)
+
     def close_idle(self) -> int:
-        """Close connections without a request; return how many are busy."""
+        """Close connections without a request; return how many are busy.
+
+        Those are busy that have a request, or an answer that is not sent in full.
+        """
         busy = 0
         for connection in list(self._connections):
             busy += connection.close_if_idle()
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -350,11 +350,10 @@
         # until those addresses expire.
         await asyncio.sleep(self._settings.leave_s)
         caller_server.close()
-        while self._clock() < self._stops_at_s:
-            busy = self._server.close_idle() + self._forwarded_handler.in_flight
-            if not busy:
-                break
+        while self._is_busy() and self._clock() < self._stops_at_s:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        cut_answers = self._server.abort_sending()
+        cut_answers += self._internal_servers.abort_sending()
         for task in (*self._background_tasks, withdraw_task):
             task.cancel()
         self._internal_servers.close()
@@ -365,5 +364,13 @@
         self._store.close()
         duration_s = self._clock() - started_at_s
         _log.info(
-            "stopped", in_flight=self._requests_in_flight, took_s=round(duration_s, 2)
+            "stopped",
+            in_flight=self._requests_in_flight,
+            cut_answers=cut_answers,
+            took_s=round(duration_s, 2),
         )
+
+    def _is_busy(self) -> bool:
+        """Close idle connections; tell whether any request or answer is left."""
+        busy = self._server.close_idle() + self._forwarded_handler.in_flight
+        return busy + self._internal_servers.sending_count > 0
--- a/packages/entry/src/borageramp_entry/_internal/routed/internal_servers.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/internal_servers.py
@@ -12,7 +12,8 @@
     """Servers that listen beside the one for callers."""
 
     def __init__(self) -> None:
-        self._servers: list[asyncio.Server] = []
+        self._listening: list[asyncio.Server] = []
+        self._servers: list[HttpServer] = []
 
     async def start(self, address: str | None, handler: HttpHandler) -> HttpServer:
         """Serve an address with a handler.
@@ -25,14 +26,24 @@
             Serves the requests.
         """
         server = HttpServer(handler)
+        self._servers.append(server)
         if address is not None:
             host, port = split_address(address)
             loop = asyncio.get_running_loop()
             listening = await loop.create_server(server.connection, host, port)
-            self._servers.append(listening)
+            self._listening.append(listening)
         return server
 
+    @property
+    def sending_count(self) -> int:
+        """Number of connections whose answers are not sent in full."""
+        return sum(server.sending_count for server in self._servers)
+
+    def abort_sending(self) -> int:
+        """End connections whose answers are not sent in full; return how many."""
+        return sum(server.abort_sending() for server in self._servers)
+
     def close(self) -> None:
         """Stop listening."""
-        for server in self._servers:
-            server.close()
+        for listening in self._listening:
+            listening.close()
--- a/tests/lib/connections.py
+++ b/tests/lib/connections.py
@@ -14,7 +14,13 @@
 
 
 class FakeTransport(asyncio.Transport):
-    """A transport that keeps what is written, and notes how it ends."""
+    """A transport that keeps what is written, and notes how it ends.
+
+    Attributes
+    ----------
+    unsent_bytes : int
+        What the caller's system has not taken.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -23,6 +29,10 @@
         self.aborted = False
         self.ended = False
         self.paused = False
+        self.unsent_bytes = 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent_bytes
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += bytes(data)
@@ -35,6 +45,7 @@
 
     def abort(self) -> None:
         self.closed = self.aborted = True
+        self.unsent_bytes = 0
 
     def is_closing(self) -> bool:
         return self.closed
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -4,7 +4,9 @@
 import json
 import os
 import signal
+import socket
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -14,13 +16,31 @@
 from borageramp_core.routing import Instance
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry.routed import HttpClient
-from tests.lib.platform_store import FakeStore
-from tests.lib.routed import HERE, make_instance
+from tests.lib.platform_store import FakeStore, running_store
+from tests.lib.routed import (
+    HERE,
+    as_bytes,
+    config_document,
+    make_instance,
+    upstream_document,
+)
+from tests.lib.stream_server import running_server
 
-__all__ = ["WORK_S", "EntryProcess", "StubUpstream"]
+__all__ = [
+    "WORK_S",
+    "EntryProcess",
+    "StubUpstream",
+    "read_slowly",
+    "run_with_instance",
+    "run_with_log",
+]
 
 ROOT = Path(__file__).resolve().parents[2]
 WORK_S = 0.6
+# Small segments and windows, as over a real network: on loopback, the system would
+# take large answers whole.
+SEGMENT_BYTES = 1448
+WINDOW_BYTES = 16_384
 
 
 class StubUpstream:
@@ -34,6 +54,8 @@
         Whether the bodies of its answers never end.
     reads : bool
         Whether it reads the bodies of requests.
+    body : bytes
+        Body of its answers.
     work_s : float
         Time until it answers a request.
     begun, served : int
@@ -46,6 +68,7 @@
         self.address = ""
         self.endless = False
         self.reads = True
+        self.body = b"done"
         self.work_s = WORK_S
 
     async def serve(
@@ -64,12 +87,12 @@
                     self.begun += 1
                     await asyncio.sleep(self.work_s)
                     self.served += 1
-                    body = b"done"
+                    body = self.body
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nBorageramp-Server-Load: 0,0,4,100\r\n"
                     b"Borageramp-Response-Signature: s\r\n"
                     + echo
-                    + b"Content-Length: 4\r\n\r\n"
+                    + b"Content-Length: %d\r\n\r\n" % len(body)
                     + body
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -216,3 +239,63 @@
             self.process.send_signal(signal.SIGTERM)
         out, _ = await self.process.communicate()
         return [json.loads(line) for line in out.decode().splitlines()]
+
+
+async def read_slowly(port: int, request: bytes, *, pause_s: float) -> bytes:
+    """Send a request; return what was read until the connection ended.
+
+    Parameters
+    ----------
+    port : int
+        Port on the loopback address.
+    request : bytes
+        The request.
+    pause_s : float
+        Pause after each window that was read.
+    """
+    loop = asyncio.get_running_loop()
+    answer = b""
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        await loop.sock_sendall(sock, request)
+        try:
+            while part := await loop.sock_recv(sock, WINDOW_BYTES):
+                answer += part
+                await asyncio.sleep(pause_s)
+        except ConnectionError:
+            return answer
+    return answer
+
+
+InstanceTest = Callable[[EntryProcess, FakeStore, StubUpstream], Awaitable[None]]
+
+
+def run_with_instance(folder: Path, test: InstanceTest) -> list[str]:
+    """Run a test with an entry process; return the events of its log."""
+    return [line["event"] for line in run_with_log(folder, test)]
+
+
+def run_with_log(folder: Path, test: InstanceTest) -> list[dict[str, Any]]:
+    """Run a test with an entry process; return the lines of its log."""
+
+    async def run() -> list[dict[str, Any]]:
+        upstream = StubUpstream()
+        async with running_server(upstream.serve) as port, running_store() as store:
+            config = config_document(timeout_s=3)
+            store.put("op/config", as_bytes(config))
+            address = upstream.address = f"127.0.0.1:{port}"
+            store.put("servers/u1", as_bytes(upstream_document(address=address)))
+            instance = EntryProcess(store, folder)
+            await instance.start()
+            try:
+                async with asyncio.timeout(60):
+                    await instance.wait_until_ready()
+                    await test(instance, store, upstream)
+            finally:
+                lines = await instance.stop_with_log()
+        return lines
+
+    return asyncio.run(run())
--- a/tests/routed/test_front_limits.py
+++ b/tests/routed/test_front_limits.py
@@ -256,3 +256,19 @@
         assert connection.transport.closed
 
     run_connection(test, answers=False)
+
+
+# Guards against connections that pass for idle while their last answer is being sent.
+@pytest.mark.parametrize("last", [True, False])
+def test_a_connection_is_busy_until_its_answer_was_sent(last: bool) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(COMPLETE_REQUEST)
+        connection.transport.unsent_bytes = 100
+        connection.requests[0].answer(200, (), b"answer", last=last)
+        await asyncio.sleep(0.02)
+        assert connection.server.close_idle() == 1
+        assert connection.transport.closed and not connection.transport.aborted
+        connection.transport.unsent_bytes = 0
+        assert connection.server.close_idle() == 0
+
+    run_connection(test, answers=False)
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -3,17 +3,20 @@
 import asyncio
 import json
 import signal
-from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
 
 from borageramp_entry.routed import BrokenExchangeError
-from tests.lib.entry_process import WORK_S, EntryProcess, StubUpstream
-from tests.lib.platform_store import FakeStore, running_store
+from tests.lib.entry_process import (
+    WORK_S,
+    EntryProcess,
+    StubUpstream,
+    run_with_instance,
+    run_with_log,
+)
+from tests.lib.platform_store import FakeStore
 from tests.lib.routed import as_bytes, config_document, upstream_document
-from tests.lib.stream_server import running_server
 
 # Concurrent uploads whose bodies together exceed the memory of the smallest machines.
 UPLOADS = 60
@@ -21,37 +24,6 @@
 SMALLEST_MEMORY_BYTES = 200_000_000
 
 
-InstanceTest = Callable[[EntryProcess, FakeStore, StubUpstream], Awaitable[None]]
-
-
-def run_with_instance(folder: Path, test: InstanceTest) -> list[str]:
-    """Run a test with an entry process; return the events of its log."""
-    return [line["event"] for line in run_with_log(folder, test)]
-
-
-def run_with_log(folder: Path, test: InstanceTest) -> list[dict[str, Any]]:
-    """Run a test with an entry process; return the lines of its log."""
-
-    async def run() -> list[dict[str, Any]]:
-        upstream = StubUpstream()
-        async with running_server(upstream.serve) as port, running_store() as store:
-            config = config_document(timeout_s=3)
-            store.put("op/config", as_bytes(config))
-            address = upstream.address = f"127.0.0.1:{port}"
-            store.put("servers/u1", as_bytes(upstream_document(address=address)))
-            instance = EntryProcess(store, folder)
-            await instance.start()
-            try:
-                async with asyncio.timeout(60):
-                    await instance.wait_until_ready()
-                    await test(instance, store, upstream)
-            finally:
-                lines = await instance.stop_with_log()
-        return lines
-
-    return asyncio.run(run())
-
-
 def test_a_request_is_served_and_an_unknown_route_is_not(tmp_path: Path) -> None:
     async def test(
         instance: EntryProcess, store: FakeStore, upstream: StubUpstream
