Doubt registrations until a lease after an outage of the store

Cause: what checks had found out in the outage was forgotten as soon as the store answered, though the paused lease of the lost instance lasts up to 4 s longer. Outages of 2 to 4 s weren't noticed at all, and at 136 instances a third of all instances never checked a given one in 8 s.

Change: registrations are doubted, and checked in turn, from 1.6 s without the store until a lease after its return. A failed check holds until a check that succeeds or a renewal. After 2 s of doubt callers get confirmed instances first.

--- a/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
@@ -27,9 +27,17 @@
 # considerable load.
 SUFFICIENT_REGISTERED = 64
 MAX_CHECKS_IF_SUFFICIENT = 2
-# Without contact with the store for this long, registered instances are checked
-# too.
-STALE_STORE_AGE_S = 4.0
+# Without contact with the store for this share of a lease, leases may be paused, and
+# registrations are doubted.
+STALE_LEASE_SHARE = 0.4
+# Share of the checks of a round for instances that were not ready.
+NOT_READY_SHARE = 0.5
+# A check that succeeded vouches for its instance for this long.
+CONFIRMED_FOR_S = 5.0
+# Callers get only confirmed instances, if there are this many, once registrations have
+# been doubted for a while: a round of checks covers a part of a large fleet.
+MIN_CONFIRMED = 8
+CONFIRMED_ONLY_AFTER_S = 2.0
 # Longer than the check interval, so that connections are reused.
 IDLE_TIMEOUT_S = 5.0
 MAX_IDLE_CONNECTIONS = 1
@@ -43,18 +51,26 @@
     outage of the store. The readiness of such an instance is checked, and it is
     kept for as long as it is ready.
 
+    A registration may also outlast its instance, as leases may pause in an
+    outage. Registered instances are checked too while the store is out of contact
+    and until all leases that were paused have been renewed or have run out.
+
     Parameters
     ----------
     own : Instance
         This instance.
     ready_path : bytes
         Path of the readiness check.
+    lease_s : float
+        Lease duration of all instances.
     store_age_s : callable
         Returns the time in seconds since the last contact with the store.
     on_gone : callable
         Called when an instance whose registration lapsed turns out to be gone.
     rng : random.Random
         Random number generator to sample the instances to check.
+    clock : callable
+        Returns the current time in seconds.
     """
 
     def __init__(
@@ -62,18 +78,26 @@
         *,
         own: Instance,
         ready_path: bytes,
+        lease_s: float,
         store_age_s: Callable[[], float],
         on_gone: Callable[[], None],
         rng: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         self._own = own
         self._ready_path = ready_path
+        self._lease_s = lease_s
         self._store_age_s = store_age_s
         self._on_gone = on_gone
         self._rng = rng
+        self._clock = clock
         self._registered: dict[str, Instance] = {}
         self._lapsed: dict[str, Instance] = {}
         self._not_ready: set[str] = set()
+        self._checked_at_s: dict[str, float] = {}
+        self._confirmed_at_s: dict[str, float] = {}
+        self._doubted_since_s = float("-inf")
+        self._doubted_until_s = float("-inf")
         self._check_requested = asyncio.Event()
         self._http = HttpClient(idle_s=IDLE_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS)
 
@@ -89,6 +113,14 @@
             self._lapsed.pop(name, None)
             if self._registered[name] != previous.get(name):
                 self._not_ready.discard(name)
+        self._forget_unknown()
+
+    def _forget_unknown(self) -> None:
+        known = self.names()
+        self._not_ready &= known
+        for times in (self._checked_at_s, self._confirmed_at_s):
+            for name in times.keys() - known:
+                del times[name]
 
     def names(self) -> frozenset[str]:
         """Return the names of all instances, including lapsed ones."""
@@ -109,33 +141,77 @@
             for i in (*self._registered.values(), *unconfirmed)
             if i.name != self._own.name and i.name not in self._not_ready
         ]
+        if self._clock() < self._doubted_until_s and (
+            self._clock() - self._doubted_since_s >= CONFIRMED_ONLY_AFTER_S
+        ):
+            confirmed = [i for i in others if self._is_confirmed(i)]
+            if len(confirmed) >= MIN_CONFIRMED:
+                others = confirmed
         return [*others, self._own] if own_ready else others
 
+    def _is_confirmed(self, instance: Instance) -> bool:
+        confirmed_at_s = self._confirmed_at_s.get(instance.name, float("-inf"))
+        return self._clock() - confirmed_at_s <= CONFIRMED_FOR_S
+
+    @property
+    def _is_doubting(self) -> bool:
+        """Whether registered instances may be gone."""
+        return self._is_stale or self._clock() < self._doubted_until_s
+
+    @property
+    def _is_stale(self) -> bool:
+        """Whether the store has been out of contact for longer than usual."""
+        return self._store_age_s() > STALE_LEASE_SHARE * self._lease_s
+
     @property
     def _has_sufficient_registered(self) -> bool:
         """Whether the registered instances alone are enough for callers."""
-        stale = self._store_age_s() > STALE_STORE_AGE_S
-        return len(self._registered) >= SUFFICIENT_REGISTERED and not stale
+        return len(self._registered) >= SUFFICIENT_REGISTERED and not self._is_doubting
 
     async def run(self) -> None:
         """Check the readiness of unconfirmed instances until cancelled."""
         while True:
             await self._wait_for_next_round()
-            unconfirmed = list(self._lapsed.values())
-            if self._store_age_s() > STALE_STORE_AGE_S:
-                unconfirmed += [
-                    i for i in self._registered.values() if i.name != self._own.name
-                ]
-            else:
-                self._not_ready.clear()
-            max_checks = (
-                MAX_CHECKS_IF_SUFFICIENT
-                if self._has_sufficient_registered
-                else MAX_CHECKS_PER_ROUND
-            )
-            if len(unconfirmed) > max_checks:
-                unconfirmed = self._rng.sample(unconfirmed, max_checks)
-            await asyncio.gather(*(self._check(i) for i in unconfirmed))
+            self._update_doubt()
+            await asyncio.gather(*(self._check(i) for i in self._to_check()))
+
+    def _update_doubt(self) -> None:
+        """Doubt registrations for a lease after the store was out of contact."""
+        now_s = self._clock()
+        if self._is_stale:
+            if now_s >= self._doubted_until_s:
+                self._doubted_since_s = now_s
+                _log.info("registrations doubted", instances=len(self._registered))
+            # The store may come back until the next round, and changes are late.
+            self._doubted_until_s = now_s + self._lease_s + 2 * CHECK_INTERVAL_S
+        elif not self._is_doubting and self._not_ready:
+            # Those that are still registered have renewed their leases.
+            _log.info("instances up", instances=sorted(self._not_ready), why="renewed")
+            self._not_ready.clear()
+
+    def _to_check(self) -> list[Instance]:
+        """Return the instances to check in this round.
+
+        Those that were not ready go first, then those not checked for longest.
+        """
+        unconfirmed = list(self._lapsed.values())
+        if self._is_doubting:
+            unconfirmed += [
+                i for i in self._registered.values() if i.name != self._own.name
+            ]
+        max_checks = (
+            MAX_CHECKS_IF_SUFFICIENT
+            if self._has_sufficient_registered
+            else MAX_CHECKS_PER_ROUND
+        )
+        if len(unconfirmed) <= max_checks:
+            return unconfirmed
+        self._rng.shuffle(unconfirmed)
+        unconfirmed.sort(key=lambda i: self._checked_at_s.get(i.name, float("-inf")))
+        not_ready = [i for i in unconfirmed if i.name in self._not_ready]
+        first = not_ready[: int(NOT_READY_SHARE * max_checks)]
+        others = [i for i in unconfirmed if i not in first]
+        return first + others[: max_checks - len(first)]
 
     async def _wait_for_next_round(self) -> None:
         """Wait for the next round or until another registration lapses."""
@@ -145,9 +221,16 @@
         self._check_requested.clear()
 
     async def _check(self, instance: Instance) -> None:
-        if await self._is_ready(instance):
-            self._not_ready.discard(instance.name)
+        ready = await self._is_ready(instance)
+        now_s = self._clock()
+        self._checked_at_s[instance.name] = now_s
+        if ready:
+            self._confirmed_at_s[instance.name] = now_s
+            if instance.name in self._not_ready:
+                self._not_ready.discard(instance.name)
+                _log.info("instances up", instances=[instance.name], why="ready")
             return
+        self._confirmed_at_s.pop(instance.name, None)
         if instance.name in self._lapsed:
             del self._lapsed[instance.name]
             _log.info("instance gone", instance=instance.name, why="not ready")
--- a/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/store_sync.py
@@ -96,12 +96,13 @@
             rng=rng,
             clock=clock,
         )
+        lease_s = compute_lease_s(
+            absence_s=settings.absence_s, gather_s=settings.gather_s
+        )
         self.registration = InstanceRegistrationTask(
             store=store,
             instance=own,
-            lease_s=compute_lease_s(
-                absence_s=settings.absence_s, gather_s=settings.gather_s
-            ),
+            lease_s=lease_s,
             # Does not require a configuration: listed instances agree on relays,
             # so that only a few read the first configuration from the store.
             ready=lambda: not is_stopping() and self.task.initial_sync_done,
@@ -114,9 +115,11 @@
         self.directory = InstanceDirectory(
             own=own,
             ready_path=platform.directory.ready_path,
+            lease_s=lease_s,
             store_age_s=self.task.age_s,
             on_gone=on_gone,
             rng=rng,
+            clock=clock,
         )
 
     @property
