Bound headers, trailers and framing of messages apart from bodies

An upstream, or a caller, that sent trailers without end took the memory of the instance: one answer of 40 chunks and small trailers 785 MB, uploads of four callers 660 MB, with 1 of 30 requests of others served (real entry).

Cause: trailers were kept as headers, and a body allowed for 16 bytes of framing for each of its own; from callers nothing counted them at all.

Change: a meter for both sides counts headers and trailers, drops trailers, and ends a message after 64 KiB without a byte of its body. Reads are bounded by 64 KiB. The parsing of requests has a module of its own. A malformed upload ends its request at once.

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -4,9 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Protocol, cast
-
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from typing import Protocol, cast
 
 from borageramp_core.routing import CallerLimits
 from borageramp_entry._internal.border.http_request import (
@@ -14,8 +12,14 @@
     encode_head,
     head_fault,
 )
+from borageramp_entry._internal.border.request_parser import (
+    MalformedRequestError,
+    RequestHead,
+    RequestParser,
+)
 from borageramp_entry._internal.border.uploads import Upload
 from borageramp_entry._internal.logs import get_logger
+from borageramp_entry._internal.serving.message_limits import BoundedReads
 
 __all__ = ["Connection", "HttpHandler"]
 
@@ -40,7 +44,7 @@
         """Return the time for the body of a request to arrive."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(BoundedReads):
     """One connection: reads requests, and has them served one by one.
 
     Parameters
@@ -58,11 +62,7 @@
         self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser: Any = HttpRequestParser(self)
-        self._target = b""
-        self._headers: list[tuple[str, bytes]] = []
-        self._head_bytes = 0
-        self._in_head = False
+        self._parser = RequestParser(self)
         self._body: list[bytes] = []
         self._body_bytes = 0
         # The request that arrives, those that wait, and the one that is served.
@@ -87,33 +87,21 @@
     def data_received(self, data: bytes) -> None:
         if self._ending or self._refused:
             return
-        if self._in_head:
-            self._head_bytes += len(data)
-        self._feed(data)
+        try:
+            self._parser.feed(data)
+        except MalformedRequestError as error:
+            if not self._ending:
+                self._refuse(error.status)
         if self._ending:
             return
-        if self._in_head:
-            if self._head_bytes > self._limits().max_header_bytes:
+        if self._parser.in_head and not self._refused:
+            if self._parser.head_bytes > self._limits().max_header_bytes:
                 self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
                 return
             header_timeout_s = self._limits().header_timeout_s
             self._set_timer("head", header_timeout_s, self._on_late_head)
         self._update_reading()
 
-    def _feed(self, data: bytes) -> None:
-        while data and not self._ending:
-            try:
-                self._parser.feed_data(data)
-                return
-            except HttpParserUpgrade as upgrade:
-                # No other protocol is spoken here, which a server need not say.
-                self._parser = HttpRequestParser(self)
-                data = data[upgrade.args[0] :]
-            except HttpParserError:
-                if not self._ending:
-                    self._refuse(HTTPStatus.BAD_REQUEST)
-                return
-
     def connection_lost(self, exc: Exception | None) -> None:
         self._ending = True
         for timer in self._timers.values():
@@ -162,7 +150,7 @@
             self._served is not None
             or bool(self._waiting)
             or self._arriving is not None
-            or self._in_head
+            or self._parser.in_head
         )
         if has_request and not self._ending:
             return True
@@ -212,7 +200,11 @@
         """Close a connection that was idle for long; look again otherwise."""
         self._timers.pop("idle", None)
         idle_timeout_s = self._limits().idle_timeout_s
-        busy = self._served is not None or self._arriving is not None or self._in_head
+        busy = (
+            self._served is not None
+            or self._arriving is not None
+            or self._parser.in_head
+        )
         left_s = idle_timeout_s
         if not busy:
             left_s -= self._loop.time() - self._idle_since_s
@@ -235,37 +227,22 @@
 
     # The parser.
 
-    def on_message_begin(self) -> None:
-        self._in_head = True
-        self._head_bytes = 0
-        self._target = b""
-        self._headers = []
+    def on_begin(self) -> None:
         self._body = []
         self._body_bytes = 0
 
-    def on_url(self, part: bytes) -> None:
-        self._target += part
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.decode("latin-1").lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self._in_head = False
+    def on_head(self, head: RequestHead) -> None:
         self._stop_timer("head")
         if self._refused or self._ending:
             return
-        request = HttpRequest(
-            self,
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._target.decode("latin-1"),
-        )
-        request.headers = tuple(self._headers)
-        request.keep_alive = self._parser.should_keep_alive()
-        request.old_version = self._parser.get_http_version() == "1.0"
+        request = HttpRequest(self, method=head.method, target=head.target)
+        request.headers = head.headers
+        request.keep_alive = head.keep_alive
+        request.old_version = head.old_version
         status = head_fault(
             request,
             max_bytes=self._limits().max_header_bytes,
-            upgrade=self._parser.should_upgrade(),
+            upgrade=head.upgrade,
         )
         if status is not None:
             self._refuse(status)
@@ -319,7 +296,7 @@
         request.upload.on_data(request.body)
         self._take(request)
 
-    def on_message_complete(self) -> None:
+    def on_end(self) -> None:
         request, self._arriving = self._arriving, None
         self._stop_timer("body")
         if request is None or self._ending:
@@ -377,6 +354,8 @@
     def _refuse(self, status: HTTPStatus) -> None:
         """Refuse what is no request, and end the connection."""
         self._refused = True
+        if self._arriving is not None and self._arriving.upload is not None:
+            self._arriving.upload.on_cut()
         if self._served is None:
             head = encode_head(
                 status, (("content-length", b"0"), ("connection", b"close"))
@@ -398,7 +377,7 @@
         self._ending = True
         if self._transport is None or self._transport.is_closing():
             return
-        if self._arriving is None and not self._in_head and not self._paused:
+        if self._arriving is None and not self._parser.in_head and not self._paused:
             self._transport.close()
             return
         if self._arriving is not None and self._arriving.upload is not None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -12,7 +12,13 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.serving.http_response import HttpResponse
+from borageramp_entry._internal.serving.message_limits import (
+    BoundedReads,
+    ExcessiveFramingError,
+    FramingMeter,
+)
 from borageramp_entry._internal.serving.requests import (
     BodyCutError,
     BodySource,
@@ -20,22 +26,18 @@
 
 __all__ = ["HttpConnection"]
 
+_log = get_logger(__name__)
+
 FINAL_STATUS = 200
 # A peer that acknowledges nothing for this long is gone; without it, a cut
 # shows only when the system gives up, minutes later.
 SILENCE_MS = 1500
 KEEP_ALIVE_S = 1
-# Longest head of an answer, with all interim answers before it.
-MAX_HEAD_BYTES = 65_536
-# Bytes of framing (sizes and extensions of chunks, trailers) that an answer may
-# have, at first and for each byte of its body: chunks of one byte need six.
-MAX_FRAMING_BYTES = 65_536
-FRAMING_PER_BODY_BYTE = 16
 # Statuses whose answers have no body.
 BODILESS = (204, 304)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(BoundedReads):
     """A connection that carries one exchange at a time.
 
     Parameters
@@ -62,12 +64,13 @@
         self._transport: asyncio.Transport | None = None
         self._response: HttpResponse | None = None
         self._parser: Any = None
+        self._meter = FramingMeter()
         self._headers: list[tuple[str, bytes]] = []
+        self._in_head = True
         self._framed = False
         self._bodiless = False
-        self._received_bytes = 0
-        self._body_bytes = 0
         self._paused = False
+        self._peer: Any = None
         self._sending: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -77,6 +80,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take in that the connection is open."""
         self._transport = cast(asyncio.Transport, transport)
+        self._peer = transport.get_extra_info("peername")
         self._set_silence_ms(SILENCE_MS)
         if self._watched:
             _keep_alive(transport.get_extra_info("socket"))
@@ -97,10 +101,10 @@
         """
         self._response = HttpResponse(self)
         self._parser = HttpResponseParser(self)
+        self._meter.start()
         self._headers = []
+        self._in_head = True
         self._bodiless = bodiless
-        self._received_bytes = 0
-        self._body_bytes = 0
         if self._transport is None or self.closed:
             self._response.on_end(whole=False)
         else:
@@ -154,39 +158,32 @@
             # They belong to no request, and could pass for the next answer.
             self.abort()
             return
-        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
-            self.abort()
-        if self._is_endless():
+            self._meter.on_read(len(data))
+        except (HttpParserError, HttpParserUpgrade, ExcessiveFramingError) as error:
+            cause = error.__context__ or error
+            _log.info("answer malformed", peer=self._peer, error=repr(cause))
             self.abort()
 
-    def _is_endless(self) -> bool:
-        """Tell whether an answer has more bytes beside its body than it may."""
-        response = self._response
-        if response is None:
-            return False
-        if response.status == 0:
-            return self._received_bytes > MAX_HEAD_BYTES
-        framing_bytes = self._received_bytes - self._body_bytes
-        allowed = MAX_HEAD_BYTES + MAX_FRAMING_BYTES
-        return framing_bytes > allowed + FRAMING_PER_BODY_BYTE * self._body_bytes
-
     def on_message_begin(self) -> None:
         """Take in, from the parser, that another answer begins."""
         if self._response is None:
             self.abort()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take in a header from the parser."""
-        self._headers.append((name.decode("latin-1").lower(), value))
+        """Take in a header or trailer from the parser."""
+        self._meter.on_header()
+        # Trailers are dropped: nobody reads them.
+        if self._in_head:
+            self._headers.append((name.decode("latin-1").lower(), value))
 
     def on_headers_complete(self) -> None:
         """Take in, from the parser, that the head is whole."""
         status = self._parser.get_status_code()
         if self._response is None or status < FINAL_STATUS:
             return
+        self._in_head = False
         names = {name for name, _ in self._headers}
         self._framed = bool(names & {"content-length", "transfer-encoding"})
         self._framed |= status in BODILESS
@@ -198,7 +195,7 @@
     def on_body(self, data: bytes) -> None:
         """Take in a part of the body from the parser."""
         if self._response is not None:
-            self._body_bytes += len(data)
+            self._meter.on_body(len(data))
             self._response.on_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -95,7 +95,11 @@
                     + b"Content-Length: %d\r\n\r\n" % len(body)
                     + body
                 )
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ConnectionError,
+        ):
             writer.close()
 
 
--- a/tests/routed/test_endless_answers.py
+++ b/tests/routed/test_endless_answers.py
@@ -73,6 +73,8 @@
     asyncio.run(run())
 
 
+LARGE_CHUNKS = (b"10000\r\n" + b"x" * 65_536 + b"\r\n") * 40
+
 ENDLESS = {
     "a header": (OK + b"X-Long: ", b"x" * BLOCK),
     "headers": (OK, b"X-More: 1\r\n" * (BLOCK // 11)),
@@ -81,6 +83,14 @@
     "an extension of a chunk": (OK + CHUNKED + b"1;", b"x" * BLOCK),
     "extensions of chunks": (OK + CHUNKED, b"1;" + b"x" * BLOCK + b"\r\na\r\n"),
     "trailers": (OK + CHUNKED + b"0\r\n", b"X-More: 1\r\n" * (BLOCK // 11)),
+    # A large body is no allowance for what comes beside it.
+    "trailers after a body": (
+        OK + CHUNKED + LARGE_CHUNKS + b"0\r\n",
+        b"a:1\r\n" * (BLOCK // 5),
+    ),
+    "a trailer after a body": (OK + CHUNKED + LARGE_CHUNKS + b"0\r\na:", b"x" * BLOCK),
+    "an extension after a body": (OK + CHUNKED + LARGE_CHUNKS + b"1;", b"x" * BLOCK),
+    "small headers": (OK, b"a:1\r\n" * (BLOCK // 5)),
 }
 
 
--- a/tests/routed/test_forwarding.py
+++ b/tests/routed/test_forwarding.py
@@ -287,14 +287,12 @@
 def test_a_request_after_a_forwarded_upload_that_filled_its_buffer_is_served() -> None:
     async def test(a: Member, b: Member) -> None:
         async def answer(request: Any) -> UpstreamAnswer:
-            # All of the body has arrived when the upstream begins to read it.
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.1)  # until all of the body has arrived
             b.client.bodies.append(await read_all(request))
             return make_upstream_answer()
 
         body = b"x" * MAX_HELD_BYTES
-        b.client.reads_bodies = False
-        b.client.answer = answer
+        b.client.reads_bodies, b.client.answer = False, answer
         a.cut_off()
         await a.run(make_request(body=body[:65_536], upload=_Upload(body)))
         answered = await a.run(make_request())
