Limit what a caller may send after its last answer

A caller that was refused, and went on sending, was read for two seconds as fast as it sent, in turn with all others.

Cause: what arrives after the last answer is read so that the caller gets to read that answer; it was bounded in time only.

Change: after 1 MiB the connection is reset.

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -19,7 +19,6 @@
 )
 from borageramp_entry._internal.border.uploads import Upload
 from borageramp_entry._internal.logs import get_logger
-from borageramp_entry._internal.serving.message_limits import BoundedReads
 
 __all__ = ["Connection", "HttpHandler"]
 
@@ -28,9 +27,10 @@
 # Larger bodies are passed on as they arrive; smaller ones are held whole, and
 # can be sent again.
 STREAM_FROM_BYTES = 65_536
-# Time for the rest of a body whose request has its answer already, so that the
-# caller reads that answer before the connection ends.
+# Time and bytes for what a caller still sends after its answer, so that it reads that
+# answer before the connection ends.
 REST_TIMEOUT_S = 2.0
+MAX_DROPPED_BYTES = 1_048_576
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -44,7 +44,7 @@
         """Return the time for the body of a request to arrive."""
 
 
-class Connection(BoundedReads):
+class Connection(asyncio.Protocol):
     """One connection: reads requests, and has them served one by one.
 
     Parameters
@@ -77,6 +77,7 @@
         self._writable.set()
         self._refused = False
         self._ending = False
+        self._dropped_bytes = 0
 
     # The socket.
 
@@ -85,6 +86,8 @@
         self._check_idle()
 
     def data_received(self, data: bytes) -> None:
+        if self._ending:
+            self._drop(data)
         if self._ending or self._refused:
             return
         try:
@@ -102,6 +105,12 @@
             self._set_timer("head", header_timeout_s, self._on_late_head)
         self._update_reading()
 
+    def _drop(self, data: bytes) -> None:
+        """Take in what a caller sends after its last answer, within limits."""
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            self.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._ending = True
         for timer in self._timers.values():
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from borageramp_entry._internal.border.connection import (
+    MAX_DROPPED_BYTES,
     REST_TIMEOUT_S,
     STREAM_FROM_BYTES,
 )
@@ -184,6 +185,20 @@
     run_connection(test, answers=False)
 
 
+# Guards against a caller that sends without end after its last answer.
+def test_what_arrives_after_the_last_answer_is_limited() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(head(10 * MAX_DROPPED_BYTES))
+        connection.requests[0].answer(413, (), b"too large")
+        for _ in range(MAX_DROPPED_BYTES // len(PART)):
+            await connection.send(PART)
+        assert not connection.transport.aborted
+        await connection.send(PART)
+        assert connection.transport.aborted
+
+    run_connection(test, answers=False, max_body_bytes=200_000)
+
+
 # Guards against answers that are lost as their connection is closed with unread bytes.
 def test_a_connection_with_requests_that_are_not_read_ends_after_its_caller() -> None:
     async def test(connection: CallerConnection) -> None:
