Pass on what one read brings of a body as one part, and limit its parts

One answer in chunks of one byte left 14 of 30 requests of others served, one such upload none; a process used a whole core for minutes after SIGTERM.

Cause: each chunk cost a callback, a list entry, a wake-up and a write; parts that were ready were read in a loop that never gave way; uploads searched all parts for each one.

Change: the parts of one read are joined on both sides; more than 8192 parts beyond one for each read, and one for every 16 bytes, end the message. Uploads join small parts.

--- a/packages/entry/src/borageramp_entry/_internal/border/request_parser.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/request_parser.py
@@ -122,7 +122,10 @@
         try:
             while data:
                 data = self._feed(data)
-            self._meter.on_read(size)
+            self._callbacks.flush()
+            # Heads have a limit of their own.
+            if not self.in_head:
+                self._meter.on_read(size)
         except HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, TooManyHeadersError):
@@ -156,6 +159,7 @@
         self.in_head = False
         self._target = b""
         self._headers: list[tuple[str, bytes]] = []
+        self._parts: list[bytes] = []
 
     def on_message_begin(self) -> None:
         self.in_head = True
@@ -189,7 +193,15 @@
 
     def on_body(self, data: bytes) -> None:
         self._meter.on_body(len(data))
-        self._events.on_body(data)
+        self._parts.append(data)
+
+    def flush(self) -> None:
+        """Pass on what arrived of the body, as one part."""
+        if self._parts:
+            data = b"".join(self._parts)
+            self._parts.clear()
+            self._events.on_body(data)
 
     def on_message_complete(self) -> None:
+        self.flush()
         self._events.on_end()
--- a/packages/entry/src/borageramp_entry/_internal/border/uploads.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/uploads.py
@@ -15,6 +15,8 @@
 # What is held of a body: enough that most can be sent again after an upstream
 # turned them away, and little for hundreds of uploads at once.
 MAX_HELD_BYTES = 262_144
+# Smaller parts are joined with the next one, so that there are few to search.
+MIN_PART_BYTES = 16_384
 
 
 class Upload:
@@ -58,7 +60,11 @@
         """Take in the next part."""
         if self._unwanted:
             return
-        self._parts.append(data)
+        if self._parts and len(self._parts[-1]) < MIN_PART_BYTES:
+            data_before = self._parts.pop()
+            self._parts.append(data_before + data)
+        else:
+            self._parts.append(data)
         self._held_bytes += len(data)
         self._arrived.set()
 
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_connection.py
@@ -15,7 +15,6 @@
 from borageramp_entry._internal.logs import get_logger
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry._internal.serving.message_limits import (
-    BoundedReads,
     ExcessiveFramingError,
     FramingMeter,
 )
@@ -37,7 +36,7 @@
 BODILESS = (204, 304)
 
 
-class HttpConnection(BoundedReads):
+class HttpConnection(asyncio.Protocol):
     """A connection that carries one exchange at a time.
 
     Parameters
@@ -66,6 +65,7 @@
         self._parser: Any = None
         self._meter = FramingMeter()
         self._headers: list[tuple[str, bytes]] = []
+        self._parts: list[bytes] = []
         self._in_head = True
         self._framed = False
         self._bodiless = False
@@ -103,6 +103,7 @@
         self._parser = HttpResponseParser(self)
         self._meter.start()
         self._headers = []
+        self._parts.clear()
         self._in_head = True
         self._bodiless = bodiless
         if self._transport is None or self.closed:
@@ -123,7 +124,11 @@
         try:
             while part := await upload.read(offset):
                 offset += len(part)
-                if upload.length is not None and offset > upload.length:
+                # The last part is held back until the body has ended there.
+                if upload.length is not None and (
+                    offset > upload.length
+                    or (offset == upload.length and await upload.read(offset))
+                ):
                     raise BodyCutError("the body is longer than its length")
                 self._write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
                 await self._writable.wait()
@@ -160,6 +165,7 @@
             return
         try:
             self._parser.feed_data(data)
+            self._flush()
             self._meter.on_read(len(data))
         except (HttpParserError, HttpParserUpgrade, ExcessiveFramingError) as error:
             cause = error.__context__ or error
@@ -196,6 +202,13 @@
         """Take in a part of the body from the parser."""
         if self._response is not None:
             self._meter.on_body(len(data))
+            self._parts.append(data)
+
+    def _flush(self) -> None:
+        """Pass on what arrived of the body, as one part."""
+        if self._parts and self._response is not None:
+            data = b"".join(self._parts)
+            self._parts.clear()
             self._response.on_body(data)
 
     def on_message_complete(self) -> None:
@@ -205,6 +218,7 @@
         if self._parser.get_status_code() < FINAL_STATUS:
             self._headers = []
             return
+        self._flush()
         self._end(reusable=self._parser.should_keep_alive())
 
     def _end(self, *, reusable: bool) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
@@ -1,7 +1,6 @@
 """An answer of a server as it arrives."""
 
 import asyncio
-from collections import deque
 from typing import Protocol
 
 from borageramp_entry._internal.serving.requests import Headers
@@ -52,7 +51,7 @@
         self.status = 0
         self.headers: Headers = ()
         self._connection = connection
-        self._chunks: deque[bytes] = deque()
+        self._chunks: list[bytes] = []
         self._held_bytes = 0
         self._ended = False
         self._whole = False
@@ -78,7 +77,7 @@
             raise BrokenExchangeError("no answer")
 
     async def read(self) -> bytes:
-        """Return the next part of the body; empty at its end.
+        """Return what has arrived of the body since; empty at its end.
 
         Raises
         ------
@@ -88,11 +87,11 @@
         while not self.ready:
             await self._wait()
         if self._chunks:
-            chunk = self._chunks.popleft()
-            self._held_bytes -= len(chunk)
-            if self._held_bytes <= BUFFER_BYTES:
-                self._connection.resume()
-            return chunk
+            data = b"".join(self._chunks)
+            self._chunks.clear()
+            self._held_bytes = 0
+            self._connection.resume()
+            return data
         if not self._whole:
             raise BrokenExchangeError("the answer was cut short")
         return b""
--- a/packages/entry/src/borageramp_entry/_internal/serving/message_limits.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/message_limits.py
@@ -1,16 +1,16 @@
 """Limits on what a message of HTTP/1.1 may have beside its body."""
 
-import asyncio
+__all__ = ["ExcessiveFramingError", "FramingMeter", "TooManyHeadersError"]
 
-__all__ = ["READ_BYTES", "BoundedReads", "ExcessiveFramingError", "FramingMeter"]
-
-# Bytes that are read and parsed before other connections have their turn.
-READ_BYTES = 65_536
 MAX_HEADERS = 256
 # Bytes without any of the body: a head, an extension of a chunk, or trailers.
 MAX_BODILESS_BYTES = 65_536
 # Bytes beside the body in all, and as many again for each byte of the body.
 MAX_FRAMING_BYTES = 131_072
+# Parts of a body beyond one for each read, and one more for so many bytes: a part costs
+# processor time whatever its size.
+MAX_EXTRA_PARTS = 8192
+BYTES_PER_EXTRA_PART = 16
 
 
 class ExcessiveFramingError(Exception):
@@ -42,6 +42,7 @@
         self._headers = 0
         self._read_bytes = 0
         self._body_bytes = 0
+        self._extra_parts = 0
         self._bodiless_bytes = 0
         self._in_body = False
         self._began = True
@@ -59,9 +60,19 @@
             raise TooManyHeadersError("headers")
 
     def on_body(self, size: int) -> None:
-        """Count a part of the body."""
+        """Count a part of the body.
+
+        Raises
+        ------
+        ExcessiveFramingError
+            If there are too many for its size.
+        """
         self._body_bytes += size
+        self._extra_parts += self._in_body
         self._in_body = True
+        allowed = MAX_EXTRA_PARTS + self._body_bytes // BYTES_PER_EXTRA_PART
+        if self._extra_parts > allowed:
+            raise ExcessiveFramingError("parts of the body")
 
     def on_read(self, size: int) -> None:
         """Count bytes that were read, once they have been parsed.
@@ -73,33 +84,13 @@
         ExcessiveFramingError
             If too many of them are beside the body.
         """
+        in_body, self._in_body = self._in_body, False
         if self._began:
             self._began = False
             return
         self._read_bytes += size
-        self._bodiless_bytes = 0 if self._in_body else self._bodiless_bytes + size
-        self._in_body = False
+        self._bodiless_bytes = 0 if in_body else self._bodiless_bytes + size
         if self._bodiless_bytes > MAX_BODILESS_BYTES:
             raise ExcessiveFramingError("bytes without any of the body")
         if self._read_bytes > MAX_FRAMING_BYTES + 2 * self._body_bytes:
             raise ExcessiveFramingError("bytes beside the body")
-
-
-# One for all connections: what is read there is copied before anything else is read.
-_buffer = bytearray(READ_BYTES)
-
-
-class BoundedReads(asyncio.BufferedProtocol):
-    """A protocol that takes in at most ``READ_BYTES`` at once."""
-
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return where the next bytes are to be read."""
-        return _buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Take in bytes that were read."""
-        self.data_received(bytes(memoryview(_buffer)[:nbytes]))
-
-    def data_received(self, data: bytes) -> None:
-        """Take in bytes of the peer."""
-        raise NotImplementedError
--- a/tests/routed/test_endless_neighbours.py
+++ b/tests/routed/test_endless_neighbours.py
@@ -19,9 +19,11 @@
 FAULTY_CALLERS = 4
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 LARGE_CHUNK = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+SMALL_CHUNKS = b"1\r\nx\r\n" * 8192
 SMALL_HEADERS = b"a:b\r\n" * 8192
 
 ANSWERS = {
+    "chunks of one byte": EndlessMessage(start=CHUNKED, block=SMALL_CHUNKS),
     "small trailers": EndlessMessage(
         start=CHUNKED + LARGE_CHUNK * 40 + b"0\r\n", block=SMALL_HEADERS
     ),
@@ -38,6 +40,7 @@
     ),
 }
 UPLOADS = {
+    "chunks of one byte": EndlessMessage(start=CHUNKED, block=SMALL_CHUNKS),
     "small trailers": EndlessMessage(
         start=CHUNKED + LARGE_CHUNK * 4 + b"0\r\n", block=SMALL_HEADERS
     ),
--- a/tests/unit/test_message_limits.py
+++ b/tests/unit/test_message_limits.py
@@ -3,7 +3,9 @@
 import pytest
 
 from borageramp_entry._internal.serving.message_limits import (
+    BYTES_PER_EXTRA_PART,
     MAX_BODILESS_BYTES,
+    MAX_EXTRA_PARTS,
     MAX_FRAMING_BYTES,
     MAX_HEADERS,
     ExcessiveFramingError,
@@ -52,3 +54,17 @@
     for _ in range(100_000):
         meter.on_body(1)
         meter.on_read(1)
+
+
+# Guards against bodies in parts of one byte, each of which costs processor time.
+def test_the_parts_that_one_read_brings_are_limited() -> None:
+    meter = make_meter()
+    with pytest.raises(ExcessiveFramingError):
+        for _ in range(2 * MAX_EXTRA_PARTS):
+            meter.on_body(1)
+
+
+def test_large_parts_are_not_limited() -> None:
+    meter = make_meter()
+    for _ in range(10 * MAX_EXTRA_PARTS):
+        meter.on_body(2 * BYTES_PER_EXTRA_PART)
