Serve the next request once the last answer was read

A caller that sends requests on one connection and reads nothing had all of its answers, of up to 1 MiB each, held in memory; one that stays idle with an unread answer kept it for good.

Cause: a request counted as finished when its answer was handed to the transport, and closing a transport waits for the peer without a limit.

Change: the next request waits until the transport has sent most of the last answer; a connection of whose answer nothing was read for the idle time-out is reset. The timers of a connection have a class of their own.

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -17,6 +17,7 @@
     RequestHead,
     RequestParser,
 )
+from borageramp_entry._internal.border.timers import Timers
 from borageramp_entry._internal.border.uploads import Upload
 from borageramp_entry._internal.logs import get_logger
 
@@ -70,11 +71,14 @@
         self._waiting: deque[HttpRequest] = deque()
         self._served: HttpRequest | None = None
         self._task: asyncio.Task[None] | None = None
-        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._timers = Timers()
         self._idle_since_s = self._loop.time()
         self._paused = False
         self._writable = asyncio.Event()
         self._writable.set()
+        # Whether the next request waits until the caller has read the last answer.
+        self._next_delayed = False
+        self._unsent_bytes_before = 0
         self._refused = False
         self._ending = False
         self._dropped_bytes = 0
@@ -102,7 +106,7 @@
                 self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
                 return
             header_timeout_s = self._limits().header_timeout_s
-            self._set_timer("head", header_timeout_s, self._on_late_head)
+            self._timers.start("head", header_timeout_s, self._on_late_head)
         self._update_reading()
 
     def _drop(self, data: bytes) -> None:
@@ -113,9 +117,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ending = True
-        for timer in self._timers.values():
-            timer.cancel()
-        self._timers.clear()
+        self._timers.stop_all()
         self._writable.set()
         for request in (self._arriving, self._served):
             if request is not None and request.upload is not None:
@@ -129,6 +131,9 @@
 
     def resume_writing(self) -> None:
         self._writable.set()
+        if self._next_delayed:
+            self._next_delayed = False
+            self._next()
 
     async def drained(self) -> None:
         """Wait until the caller has read most of what was sent."""
@@ -196,19 +201,12 @@
 
     # Times.
 
-    def _set_timer(self, name: str, after_s: float, act: Callable[[], None]) -> None:
-        if name not in self._timers:
-            self._timers[name] = self._loop.call_later(after_s, act)
-
-    def _stop_timer(self, name: str) -> None:
-        timer = self._timers.pop(name, None)
-        if timer is not None:
-            timer.cancel()
-
     def _check_idle(self) -> None:
         """Close a connection that was idle for long; look again otherwise."""
-        self._timers.pop("idle", None)
         idle_timeout_s = self._limits().idle_timeout_s
+        if self._is_unread():
+            self.abort()
+            return
         busy = (
             self._served is not None
             or self._arriving is not None
@@ -218,16 +216,20 @@
         if not busy:
             left_s -= self._loop.time() - self._idle_since_s
         if left_s > 0:
-            self._set_timer("idle", left_s, self._check_idle)
+            self._timers.start("idle", left_s, self._check_idle)
         else:
             self.close_if_idle()
 
+    def _is_unread(self) -> bool:
+        """Whether the caller has taken nothing of an answer since the last look."""
+        before, self._unsent_bytes_before = self._unsent_bytes_before, self.unsent_bytes
+        answered = self._served is None or self._served.finished
+        return answered and 0 < before == self._unsent_bytes_before
+
     def _on_late_head(self) -> None:
-        self._timers.pop("head", None)
         self._refuse(HTTPStatus.REQUEST_TIMEOUT)
 
     def _on_late_body(self) -> None:
-        self._timers.pop("body", None)
         request = self._arriving
         if request is not None and request.upload is None:
             request.body_late = True
@@ -241,7 +243,7 @@
         self._body_bytes = 0
 
     def on_head(self, head: RequestHead) -> None:
-        self._stop_timer("head")
+        self._timers.stop("head")
         if self._refused or self._ending:
             return
         request = HttpRequest(self, method=head.method, target=head.target)
@@ -269,7 +271,7 @@
             if (request.header("expect") or b"").lower() == b"100-continue":
                 self.write(CONTINUE)
             timeout_s = self._handler.body_timeout_s(request)
-            self._set_timer("body", timeout_s, self._on_late_body)
+            self._timers.start("body", timeout_s, self._on_late_body)
 
     def on_body(self, data: bytes) -> None:
         request = self._arriving
@@ -307,14 +309,14 @@
 
     def on_end(self) -> None:
         request, self._arriving = self._arriving, None
-        self._stop_timer("body")
+        self._timers.stop("body")
         if request is None or self._ending:
             return
         request.received = True
         if request.upload is not None:
             request.upload.on_end()
             if request.finished and self._served is request:
-                self._next()
+                self.on_finished(request)
         elif not request.body_late and not request.body_too_large:
             request.body = b"".join(self._body)
             self._take(request)
@@ -323,7 +325,7 @@
 
     def _take(self, request: HttpRequest) -> None:
         """Have a request served, after those before it."""
-        self._stop_timer("body")
+        self._timers.stop("body")
         if self._served is not None:
             self._waiting.append(request)
             return
@@ -345,14 +347,16 @@
         if not request.keep_alive:
             self._end()
         elif request.received:
-            self._next()
+            self._next_delayed = not self._writable.is_set()
+            if not self._next_delayed:
+                self._next()
         elif request.upload is not None:
             request.upload.drop_rest()
-            self._set_timer("rest", REST_TIMEOUT_S, self.abort)
+            self._timers.start("rest", REST_TIMEOUT_S, self.abort)
 
     def _next(self) -> None:
         """Go on with the next request of the connection."""
-        self._stop_timer("rest")
+        self._timers.stop("rest")
         self._served = None
         self._task = None
         self._idle_since_s = self._loop.time()
@@ -393,4 +397,4 @@
             self._arriving.upload.drop_rest()
         self._update_reading()
         self._transport.write_eof()
-        self._set_timer("rest", REST_TIMEOUT_S, self._transport.abort)
+        self._timers.start("rest", REST_TIMEOUT_S, self._transport.abort)
--- a/tests/routed/test_front_limits.py
+++ b/tests/routed/test_front_limits.py
@@ -272,3 +272,34 @@
         assert connection.server.close_idle() == 0
 
     run_connection(test, answers=False)
+
+
+# Guards against answers that pile up for a caller that sends requests and reads none.
+def test_the_next_request_waits_until_the_last_answer_was_read() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(COMPLETE_REQUEST * 2)
+        connection.protocol.pause_writing()
+        connection.requests[0].answer(200, (), b"large")
+        await asyncio.sleep(0.02)
+        assert len(connection.requests) == 1 and connection.transport.paused
+        connection.protocol.resume_writing()
+        await asyncio.sleep(0.02)
+        assert len(connection.requests) == 2
+
+    run_connection(test, answers=False)
+
+
+# Guards against answers that are held for good, as nobody reads them.
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_connection_whose_answer_is_not_read_ends(reads: bool) -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(COMPLETE_REQUEST)
+        connection.protocol.pause_writing()
+        connection.transport.unsent_bytes = 100_000
+        connection.requests[0].answer(200, (), b"large")
+        for _ in range(6):
+            await asyncio.sleep(IDLE_TIMEOUT_S / 2)
+            connection.transport.unsent_bytes -= 1000 * reads
+        assert connection.transport.aborted is not reads
+
+    run_connection(test, answers=False, **LIMITS)
