Limit what all buffered answers hold together

Two hundred answers of an endless body took 393 MB; a process that exceeds 300 MB is ended, with the requests of everybody.

Cause: up to 1 MiB of each answer is held so that a truncated one can be retried, and all together had no limit.

Change: beyond 32 MiB in all, an answer that holds more than 64 KiB is passed on as it arrives. Nothing is refused for it. An answer counts for as long as anything refers to its buffer: until its caller has read it, or it was given up.

--- a/packages/entry/src/borageramp_entry/_internal/border/http_request.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/http_request.py
@@ -123,6 +123,10 @@
             self._channel.write(framed)
             await self._channel.drained()
 
+    async def drained(self) -> None:
+        """Wait until the caller has read most of what was sent."""
+        await self._channel.drained()
+
     def answer(
         self, status: int, headers: Headers, body: bytes, *, last: bool = False
     ) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/attempts.py
@@ -12,6 +12,10 @@
     UpstreamView,
     WorkEstimate,
 )
+from borageramp_entry._internal.routed.answer_buffers import (
+    AnswerBuffer,
+    AnswerBuffers,
+)
 from borageramp_entry._internal.routed.pools import PoolRegistry
 from borageramp_entry._internal.serving.requests import CallerRequest
 from borageramp_entry._internal.serving.upstreams import (
@@ -22,9 +26,8 @@
 
 __all__ = ["Attempt", "RoutedAnswer", "RoutedAttempt", "buffer_body"]
 
-# An answer up to this size is buffered before any of it is sent to the caller, so
-# that a truncated answer can be retried.
-MAX_BUFFERED_BYTES = 1_048_576
+# Each process is one instance.
+_buffers = AnswerBuffers()
 CONNECT_TIMEOUT_S = 0.3
 MIN_ERROR_STATUS = 500
 
@@ -41,11 +44,14 @@
         The part of the body read so far.
     complete : bool
         Whether ``body`` is the complete body.
+    buffer : AnswerBuffer
+        Counts ``body`` while the answer is in use.
     """
 
     upstream_answer: UpstreamAnswer
     body: bytes
     complete: bool
+    buffer: AnswerBuffer
 
     @property
     def failed(self) -> bool:
@@ -72,20 +78,18 @@
     TryFailedError
         If the body was cut short or did not arrive in time.
     """
-    chunks: list[bytes] = []
-    buffered_bytes = 0
-    while buffered_bytes <= MAX_BUFFERED_BYTES:
+    buffer = _buffers.open()
+    complete = False
+    while not complete and not buffer.is_full:
         try:
             chunk = await answer.read(max(0.0, deadline_s - clock()))
         except TimeoutError:
             raise TryFailedError(AttemptResult.TIMED_OUT) from None
-        if not chunk:
-            return RoutedAnswer(
-                upstream_answer=answer, body=b"".join(chunks), complete=True
-            )
-        chunks.append(chunk)
-        buffered_bytes += len(chunk)
-    return RoutedAnswer(upstream_answer=answer, body=b"".join(chunks), complete=False)
+        buffer.add(chunk)
+        complete = not chunk
+    return RoutedAnswer(
+        upstream_answer=answer, body=buffer.take(), complete=complete, buffer=buffer
+    )
 
 
 class Attempt(Protocol):
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -115,7 +115,10 @@
         """Handle a request and send its response."""
         self.in_flight += 1
         try:
-            await _Exchange(self, request).run()
+            exchange = _Exchange(self, request)
+            await exchange.run()
+            # The exchange holds the answer, which counts as buffered until it was read.
+            await request.drained()
         finally:
             self.in_flight -= 1
 
@@ -237,6 +240,7 @@
         self._routed: RoutedRequest | None = None
         self._request_id = ""
         self._deadline_s: float | None = None
+        self._answer: RoutedAnswer | None = None
 
     async def run(self) -> None:
         outcome = "cancelled"
@@ -272,11 +276,11 @@
             self._routed = self._handler.build_routed_request(
                 self._request, arrived_at_s=self._arrived_at_s
             )
-            answer = await self._handler.dispatch(self._routed)
+            self._answer = await self._handler.dispatch(self._routed)
         except RefusedError as error:
             self._refuse(error)
             return error.reason.value
-        return await self._deliver(answer)
+        return await self._deliver(self._answer)
 
     async def _deliver(self, answer: RoutedAnswer) -> str:
         head = answer.upstream_answer.head
