Limit the answers that are read whole, and drop those of checks

A store or another instance whose answer never ends could take the memory of an instance; an answer to a readiness check with an unread body kept its connection.

Cause: read_all and the reading of reports had no limit, and the directory left the body of a check unread.

Change: 32 MiB for what is read whole, 64 KiB for reports; the body of a check is discarded, which has limits of its own.

--- a/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/instance_directory.py
@@ -251,4 +251,5 @@
         except (NotConnectedError, BrokenExchangeError, TimeoutError) as error:
             _log.info("no answer", instance=instance.name, error=repr(error))
             return False
+        response.discard()
         return response.status == STATUS_OK
--- a/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/peer_forwarding.py
@@ -52,6 +52,7 @@
 # Idle connections kept to one instance.
 MAX_IDLE_CONNECTIONS = 8
 STATUS_OK = 200
+MAX_REPORT_BYTES = 65_536
 
 
 class PeerRefusedError(TryFailedError):
@@ -144,7 +145,7 @@
                 response = await self._http.request(
                     _place(instance), "GET", path, connect_timeout_s=CONNECT_TIMEOUT_S
                 )
-                body = await _read_small(response)
+                body = await response.read_all(max_bytes=MAX_REPORT_BYTES)
                 return decode_report(body, response.headers)
         except (
             NotConnectedError,
@@ -303,11 +304,3 @@
 def _place(instance: Instance) -> tuple[str, int]:
     assert instance.peer_address is not None
     return split_address(instance.peer_address)
-
-
-async def _read_small(response: HttpResponse) -> bytes:
-    """Return the whole body of a small answer; its connection stays usable."""
-    parts = []
-    while part := await response.read():
-        parts.append(part)
-    return b"".join(parts)
--- a/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
+++ b/packages/entry/src/borageramp_entry/_internal/serving/http_response.py
@@ -9,6 +9,8 @@
 
 # Bytes of an answer held for a slow reader before the server is paused.
 BUFFER_BYTES = 65_536
+# Longest body that is read as a whole: listings and changes of the store.
+MAX_WHOLE_BYTES = 33_554_432
 # What is read of an answer that nobody wants, so that its connection can be
 # used again; more, or a longer wait, costs more than a new connection.
 MAX_DISCARDED_BYTES = 65_536
@@ -96,18 +98,27 @@
             raise BrokenExchangeError("the answer was cut short")
         return b""
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, *, max_bytes: int = MAX_WHOLE_BYTES) -> bytes:
         """Return the whole body.
 
+        Parameters
+        ----------
+        max_bytes : int
+            Longest body that is read.
+
         Raises
         ------
         BrokenExchangeError
-            If it was cut short.
+            If it was cut short, or is longer.
         """
         parts = []
+        size = 0
         try:
             while part := await self.read():
                 parts.append(part)
+                size += len(part)
+                if size > max_bytes:
+                    raise BrokenExchangeError("the answer is too long")
         finally:
             self.abort()
         return b"".join(parts)
--- a/tests/routed/test_endless_answers.py
+++ b/tests/routed/test_endless_answers.py
@@ -1,16 +1,19 @@
 """Servers that send bytes without end, against the client for upstreams."""
 
 import asyncio
+import random
 import tracemalloc
 from collections.abc import Awaitable, Callable
 
 import pytest
 
 from borageramp_core import AttemptResult
+from borageramp_entry._internal.routed.instance_directory import InstanceDirectory
 from borageramp_entry._internal.serving.upstreams import TryFailedError, UpstreamClient
 from borageramp_entry.routed import BrokenExchangeError, CallerRequest, HttpClient
 from borageramp_platform.messages import Upstreams
 from tests.lib.builders import make_upstream
+from tests.lib.routed import make_instance
 from tests.lib.stream_server import running_server
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -166,6 +169,47 @@
     against(EndlessServer(OK + framing, block), test)
 
 
+# Guards against a store or another instance whose answer takes all of the memory.
+@pytest.mark.parametrize("case", BODIES)
+def test_an_answer_that_is_read_whole_has_a_limit(case: str) -> None:
+    framing, block = BODIES[case]
+
+    async def test(port: int) -> None:
+        client = HttpClient(idle_s=5.0, max_idle=4)
+        response = await client.request(
+            ("127.0.0.1", port), "GET", "/x", connect_timeout_s=1.0
+        )
+        with pytest.raises(BrokenExchangeError, match="too long"):
+            await response.read_all(max_bytes=500_000)
+
+    against(EndlessServer(OK + framing, block), test)
+
+
+# Guards against connections of checks that stay open with an answer without end.
+@pytest.mark.parametrize("case", BODIES)
+def test_a_readiness_answer_without_end_is_given_up(case: str) -> None:
+    framing, block = BODIES[case]
+
+    async def test(port: int) -> None:
+        address = f"127.0.0.1:{port}"
+        directory = InstanceDirectory(
+            own=make_instance("own"),
+            ready_path=b"/ready",
+            lease_s=4.0,
+            store_age_s=lambda: 10.0,
+            on_gone=lambda: None,
+            rng=random.Random(1),
+            clock=asyncio.get_running_loop().time,
+        )
+        directory.update([make_instance("other", check_address=address)])
+        checking = asyncio.ensure_future(directory.run())
+        await asyncio.sleep(1.5)
+        checking.cancel()
+        assert len(directory.usable(own_ready=False)) == 1
+
+    against(EndlessServer(OK + framing, block), test)
+
+
 def _request() -> CallerRequest:
     return CallerRequest(
         request_id="r",
