Reset connections whose small unread answer outlives them

Cause: the idle timer ended with the close; a delayed request was not dropped.

Change: the timer goes on until all was sent, an answer counts as unread by the time since its last byte was taken, and nothing is served once a connection ends.

Measured: the new case of a refusal, and the small unread answer, fail before and pass now.

--- a/packages/entry/src/borageramp_entry/_internal/border/connection.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/connection.py
@@ -4,10 +4,11 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol, cast
+from typing import cast
 
 from borageramp_core.routing import CallerLimits
 from borageramp_entry._internal.border.http_request import (
+    HttpHandler,
     HttpRequest,
     encode_head,
     head_fault,
@@ -21,7 +22,7 @@
 from borageramp_entry._internal.border.uploads import Upload
 from borageramp_entry._internal.logs import get_logger
 
-__all__ = ["Connection", "HttpHandler"]
+__all__ = ["Connection"]
 
 _log = get_logger(__name__)
 
@@ -35,16 +36,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class HttpHandler(Protocol):
-    """Serves requests."""
-
-    async def serve(self, request: HttpRequest) -> None:
-        """Serve a request; cancelled when its caller leaves."""
-
-    def body_timeout_s(self, request: HttpRequest) -> float:
-        """Return the time for the body of a request to arrive."""
-
-
 class Connection(asyncio.Protocol):
     """One connection: reads requests, and has them served one by one.
 
@@ -79,6 +70,7 @@
         # Whether the next request waits until the caller has read the last answer.
         self._next_delayed = False
         self._unsent_bytes_before = 0
+        self._unsent_since_s = self._idle_since_s
         self._refused = False
         self._ending = False
         self._dropped_bytes = 0
@@ -131,7 +123,7 @@
 
     def resume_writing(self) -> None:
         self._writable.set()
-        if self._next_delayed:
+        if self._next_delayed and not self._ending:
             self._next_delayed = False
             self._next()
 
@@ -203,10 +195,10 @@
 
     def _check_idle(self) -> None:
         """Close a connection that was idle for long; look again otherwise."""
-        idle_timeout_s = self._limits().idle_timeout_s
         if self._is_unread():
             self.abort()
             return
+        idle_timeout_s = self._limits().idle_timeout_s
         busy = (
             self._served is not None
             or self._arriving is not None
@@ -215,16 +207,22 @@
         left_s = idle_timeout_s
         if not busy:
             left_s -= self._loop.time() - self._idle_since_s
+        if left_s <= 0 and self.close_if_idle():
+            # What is left of an answer is still being sent.
+            left_s = idle_timeout_s
         if left_s > 0:
             self._timers.start("idle", left_s, self._check_idle)
-        else:
-            self.close_if_idle()
 
     def _is_unread(self) -> bool:
-        """Whether the caller has taken nothing of an answer since the last look."""
-        before, self._unsent_bytes_before = self._unsent_bytes_before, self.unsent_bytes
+        """Whether the caller has taken nothing of an answer for long."""
+        now_s = self._loop.time()
+        if self.unsent_bytes != self._unsent_bytes_before:
+            self._unsent_bytes_before = self.unsent_bytes
+            self._unsent_since_s = now_s
         answered = self._served is None or self._served.finished
-        return answered and 0 < before == self._unsent_bytes_before
+        unread_s = now_s - self._unsent_since_s
+        idle_timeout_s = self._limits().idle_timeout_s
+        return answered and self.unsent_bytes > 0 and unread_s >= idle_timeout_s
 
     def _on_late_head(self) -> None:
         self._refuse(HTTPStatus.REQUEST_TIMEOUT)
--- a/packages/entry/src/borageramp_entry/_internal/border/http_request.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/http_request.py
@@ -6,7 +6,7 @@
 from borageramp_entry._internal.border.uploads import Upload
 from borageramp_entry._internal.serving.requests import Headers
 
-__all__ = ["AnswerChannel", "HttpRequest", "encode_head", "head_fault"]
+__all__ = ["AnswerChannel", "HttpHandler", "HttpRequest", "encode_head", "head_fault"]
 
 # Statuses whose answers have no body.
 BODILESS = (204, 304)
@@ -32,6 +32,16 @@
         """End the connection at once."""
 
 
+class HttpHandler(Protocol):
+    """Serves requests."""
+
+    async def serve(self, request: "HttpRequest") -> None:
+        """Serve a request; cancelled when its caller leaves."""
+
+    def body_timeout_s(self, request: "HttpRequest") -> float:
+        """Return the time for the body of a request to arrive."""
+
+
 class HttpRequest:
     """A request of one connection, and its answer.
 
--- a/packages/entry/src/borageramp_entry/_internal/border/request_parser.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/request_parser.py
@@ -90,10 +90,8 @@
 
     Attributes
     ----------
-    in_head : bool
-        Whether a head has begun and is not whole.
     head_bytes : int
-        Bytes that were read since then.
+        Bytes that were read since a head has begun.
     """
 
     def __init__(self, events: RequestEvents) -> None:
--- a/packages/entry/src/borageramp_entry/_internal/border/server.py
+++ b/packages/entry/src/borageramp_entry/_internal/border/server.py
@@ -6,8 +6,8 @@
 from weakref import WeakSet
 
 from borageramp_core.routing import CallerLimits
-from borageramp_entry._internal.border.connection import Connection, HttpHandler
-from borageramp_entry._internal.border.http_request import HttpRequest
+from borageramp_entry._internal.border.connection import Connection
+from borageramp_entry._internal.border.http_request import HttpHandler, HttpRequest
 
 __all__ = ["HttpHandler", "HttpRequest", "HttpServer"]
 
--- a/tests/routed/test_front_limits.py
+++ b/tests/routed/test_front_limits.py
@@ -289,12 +289,28 @@
     run_connection(test, answers=False)
 
 
+# Guards against a request that is served on a connection that has ended.
+def test_nothing_is_served_after_a_refusal_behind_an_unread_answer() -> None:
+    async def test(connection: CallerConnection) -> None:
+        await connection.send(COMPLETE_REQUEST * 2)
+        connection.protocol.pause_writing()
+        connection.requests[0].answer(200, (), b"large")
+        connection.protocol.data_received(b"no request\r\n\r\n")
+        connection.protocol.resume_writing()
+        await asyncio.sleep(0.02)
+        assert len(connection.requests) == 1
+
+    run_connection(test, answers=False)
+
+
 # Guards against answers that are held for good, as nobody reads them.
 @pytest.mark.parametrize("reads", [True, False])
-def test_a_connection_whose_answer_is_not_read_ends(reads: bool) -> None:
+@pytest.mark.parametrize("large", [True, False])
+def test_a_connection_whose_answer_is_not_read_ends(large: bool, reads: bool) -> None:
     async def test(connection: CallerConnection) -> None:
         await connection.send(COMPLETE_REQUEST)
-        connection.protocol.pause_writing()
+        if large:
+            connection.protocol.pause_writing()
         connection.transport.unsent_bytes = 100_000
         connection.requests[0].answer(200, (), b"large")
         for _ in range(6):
