Let the simulated requests of other instances be waited for

Tests of large cuts failed since answers count until they were read: the request of the simulated fleet has no connection to wait for. It takes an answer whole, so that there is nothing to wait for. A stub of tests only.

Measured: test_large_cuts.py and test_cut_moment.py failed (25 cases) and pass.

--- a/tests/lib/simulated_peers.py
+++ b/tests/lib/simulated_peers.py
@@ -41,6 +41,9 @@
         self.response.on_body(body)
         self.response.on_end(whole=True)
 
+    async def drained(self) -> None:
+        """Return at once: the whole answer has been taken."""
+
 
 class _Links:
     """HTTP client of an instance for the others."""
