Let the request of a test of refusals be waited for

The test failed since answers count until they were read: its request has no connection to wait for. What it checks is unchanged.

Measured: test_terms.py failed in one case and passes.

--- a/tests/routed/test_terms.py
+++ b/tests/routed/test_terms.py
@@ -4,6 +4,7 @@
 import random
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import AsyncMock
 
 import pytest
 from structlog.testing import capture_logs
@@ -120,6 +121,7 @@
     request: Any = make_request()
     request.headers = (("host", b"unknown.example"), (REQUEST_ID, b"1"))
     request.answer = lambda *args, **kwargs: None
+    request.drained = AsyncMock()
     with capture_logs() as lines:
         asyncio.run(handler.serve(request))
     refused = next(line for line in lines if line["event"] == "refused")
