--- a/tests/lib/endless_peers.py
+++ b/tests/lib/endless_peers.py
@@ -17,7 +17,6 @@
     "EndlessMessage",
     "EndlessUpstream",
     "Neighbours",
-    "peak_bytes",
     "running_neighbours",
 ]
 
@@ -165,14 +164,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
-def peak_bytes(instance: EntryProcess) -> int:
-    """Return the peak resident memory of a process that runs."""
-    assert instance.process.returncode is None, "the process has ended"
-    status = Path(f"/proc/{instance.process.pid}/status").read_text()
-    (line,) = (text for text in status.splitlines() if text.startswith("VmHWM"))
-    return int(line.split()[1]) * 1024
-
-
 def _neighbour_config() -> dict[str, Any]:
     """Return a configuration with a route to each of the two services."""
     config = config_document(path_prefix="/healthy/", backend="healthy", timeout_s=2)
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -30,6 +30,7 @@
     "WORK_S",
     "EntryProcess",
     "StubUpstream",
+    "peak_bytes",
     "read_slowly",
     "run_with_instance",
     "run_with_log",
@@ -245,6 +246,14 @@
         return [json.loads(line) for line in out.decode().splitlines()]
 
 
+def peak_bytes(instance: EntryProcess) -> int:
+    """Return the peak resident memory of a process that runs."""
+    assert instance.process.returncode is None, "the process has ended"
+    status = Path(f"/proc/{instance.process.pid}/status").read_text()
+    (line,) = (text for text in status.splitlines() if text.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
 async def read_slowly(port: int, request: bytes, *, pause_s: float) -> bytes:
     """Send a request; return what was read until the connection ended.
 
--- a/tests/routed/test_endless_neighbours.py
+++ b/tests/routed/test_endless_neighbours.py
@@ -8,9 +8,9 @@
 from tests.lib.endless_peers import (
     NEIGHBOUR_REQUESTS,
     EndlessMessage,
-    peak_bytes,
     running_neighbours,
 )
+from tests.lib.entry_process import peak_bytes
 
 # Memory of the smallest machines.
 MAX_PEAK_BYTES = 200_000_000
--- a/tests/routed/test_process.py
+++ b/tests/routed/test_process.py
@@ -12,6 +12,7 @@
     WORK_S,
     EntryProcess,
     StubUpstream,
+    peak_bytes,
     run_with_instance,
     run_with_log,
 )
@@ -169,13 +170,6 @@
     run_with_instance(tmp_path, test)
 
 
-def peak_bytes(instance: EntryProcess) -> int:
-    """Return the peak resident memory of the process."""
-    status = Path(f"/proc/{instance.process.pid}/status").read_text()
-    (line,) = (text for text in status.splitlines() if text.startswith("VmHWM"))
-    return int(line.split()[1]) * 1024
-
-
 async def upload(instance: EntryProcess, number: int) -> int:
     """Send a large body; return the status of the answer, or 0 without one."""
     reader, writer = await asyncio.open_connection("127.0.0.1", instance.front)
--- a/tests/routed/test_upload_sending.py
+++ b/tests/routed/test_upload_sending.py
@@ -9,22 +9,11 @@
 from borageramp_entry._internal.serving.http_response import HttpResponse
 from borageramp_entry.routed import BrokenExchangeError, HttpClient
 from tests.lib.stream_server import running_server
+from tests.lib.uploads import make_upload, run_with_timeout
 
 PART = b"x" * 16_384
 
 
-def make_upload(*, length: int | None) -> Upload:
-    return Upload(length=length, on_room=lambda: None)
-
-
-def run_with_timeout(test: Any) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(10):
-            await test()
-
-    asyncio.run(bounded())
-
-
 class UploadServer:
     """Reads bodies and records the bytes received on each connection."""
 
--- a/tests/routed/test_uploads.py
+++ b/tests/routed/test_uploads.py
@@ -1,7 +1,6 @@
 """Streaming of large request bodies to upstreams."""
 
 import asyncio
-from typing import Any
 
 import pytest
 
@@ -13,23 +12,12 @@
 from borageramp_entry._internal.border.uploads import MAX_HELD_BYTES, Upload
 from borageramp_entry._internal.serving.requests import BodyCutError
 from tests.lib.connections import CallerConnection, run_connection
+from tests.lib.uploads import make_upload, run_with_timeout
 
 PART = b"x" * 16_384
 SMALL_BODY = b"y" * 1000
 
 
-def make_upload(*, length: int | None) -> Upload:
-    return Upload(length=length, on_room=lambda: None)
-
-
-def run_with_timeout(test: Any) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(10):
-            await test()
-
-    asyncio.run(bounded())
-
-
 def test_a_body_is_read_while_it_arrives_and_again_from_its_start() -> None:
     async def test() -> None:
         upload = make_upload(length=4)
