Show that one cut answer loses the requests behind it

Cause: requests are begun behind an answer that is passed on before it is whole. If its target breaks off, the connection has to end, and the answers held behind it are dropped.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -311,10 +311,13 @@
     """A sound target.
 
     It works for as many milliseconds as the last part of a request's path says, and
-    drops a request whose connection closes.
+    drops a request whose connection closes. Its answers have as many bytes as ``bytes``
+    in the query says.
 
     Attributes
     ----------
+    broken_off : set of str
+        Identifiers of requests whose answers it breaks off halfway.
     runs : dict of str to dict
         Runs by the request's identifier: ``began_s``, ``ended_s`` and ``end``
         (``done``, ``deadline`` or ``dropped``).
@@ -333,6 +336,7 @@
         self.name = name
         self.service = service
         self.zone = zone
+        self.broken_off: set[str] = set()
         self.runs: dict[str, dict[str, Any]] = {}
         self.address = ""
         self._record = record
@@ -380,6 +384,12 @@
                 answer = await self._answer(message, following)
                 if answer is None:
                     break
+                request_id = message.headers.get("borageramp-request-id", "")
+                if request_id in self.broken_off:
+                    writer.write(answer[: len(answer) // 2])
+                    await writer.drain()
+                    self._record.add("broke off", id=request_id, target=self.name)
+                    break
                 writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -409,7 +419,7 @@
         self, message: Message, following: "asyncio.Future[Message]"
     ) -> bytes | None:
         """Return the answer to a request; ``None`` if its connection has closed."""
-        path = message.start.split(" ")[1].partition("?")[0]
+        path, _, query = message.start.split(" ")[1].partition("?")
         if path == HEALTH_PATH:
             return encode("HTTP/1.1 200 OK", self._headers())
         request_id = message.headers.get("borageramp-request-id", "")
@@ -438,6 +448,7 @@
             return self._rejection(status, request_id)
         signature = {"Borageramp-Response-Signature": f"{self.name}.{request_id}"}
         body = json.dumps({"target": self.name, "service": self.service}).encode()
+        body = body.ljust(int(parse_qs(query).get("bytes", ["0"])[0]))
         return encode(f"HTTP/1.1 {status} x", headers | signature, body)
 
     async def _work(self, request_id: str, path: str, *, deadline_s: float) -> int:
