Show that an answer that misses its turn takes those behind it along

Cause: a streamed answer of a pipelined request that waits for its turn is aborted at its deadline. The pipeline then drops it and cancels all requests behind it, although nothing of it has been sent and a refusal could take its place.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -318,6 +318,8 @@
     ----------
     broken_off : set of str
         Identifiers of requests whose answers it breaks off halfway.
+    slow_paths : dict of str to float
+        How many times as long it works on requests of a path.
     runs : dict of str to dict
         Runs by the request's identifier: ``began_s``, ``ended_s`` and ``end``
         (``done``, ``deadline`` or ``dropped``).
@@ -337,6 +339,7 @@
         self.service = service
         self.zone = zone
         self.broken_off: set[str] = set()
+        self.slow_paths: dict[str, float] = {}
         self.runs: dict[str, dict[str, Any]] = {}
         self.address = ""
         self._record = record
@@ -453,6 +456,7 @@
 
     async def _work(self, request_id: str, path: str, *, deadline_s: float) -> int:
         work_s = int(path.rstrip("/").rpartition("/")[2]) / 1000
+        work_s *= self.slow_paths.get(path, 1.0)
         ends_s = time.monotonic() + deadline_s
         self._waiting += 1
         try:
