Take the ports of the cases below those that the system hands out

An entry that found its port taken is supposed, not shown: the output was not kept, and six more runs with output all failed as they should.

Done: ports are drawn from a range that no connection gets by itself.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -28,8 +29,11 @@
 HEALTH_PATH = "/healthz"
 STORE_DELAY_S = 0.004
 HEARTBEAT_S = 1.5
+PORTS = (10_240, 32_000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+_used_ports: set[int] = set()
+
 Serve = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]
 ]
@@ -120,15 +124,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((LOOPBACK, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ports of the loopback address that nobody listens on.
+
+    They lie below those that the system hands out, which a connection or a stand-in
+    might get before an entry listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            if port not in _used_ports:
+                _used_ports.add(port)
+                ports.append(port)
+    return ports
 
 
 class Store:
