--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -822,12 +822,17 @@
     """
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # The entries end also if the script is ended.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(folder)
         deployment.run_task(deployment.store.expire())
         try:
             async with asyncio.timeout(limit_s):
                 broken = await case(deployment)
-        except (NotRunError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Only a case that ran to its end says anything of the rule.
             deployment.record.add("could not run", error=repr(error))
             print(f"could not run: {error!r}")
             return NOT_RUN
