Give up requests of a planned stop only shortly before the kill

Answers that were ready and still being read were reset at 5.0 s.

Cause: the adapter kept a fixed second back from the time of the stop, whatever that was, and requests ended 0.1 s before that. Both were taken for small beside it.

Change: the settings name the whole time (stop_timeout_s), and the core derives both ends from it (StopSchedule): answers are sent until 0.5 s before its end, requests run until 0.1 s before that; in a short time, at most a twelfth and a sixtieth of it, so that together they stay below a sixth. The end of a request and the end of answers are two times now, so that handlers no longer subtract a margin of their own.

--- a/packages/core/src/borageramp_core/routing.py
+++ b/packages/core/src/borageramp_core/routing.py
@@ -113,6 +113,7 @@
     SourceSelector,
     StoreSource,
 )
+from borageramp_core._internal.routing.stop_schedule import StopSchedule
 from borageramp_core._internal.routing.store_position import StorePosition
 from borageramp_core._internal.routing.upstream_view import LoadSnapshot, UpstreamView
 from borageramp_core._internal.routing.work_estimate import WorkEstimate
@@ -182,6 +183,7 @@
     "SourceSelector",
     "Standing",
     "StateItem",
+    "StopSchedule",
     "StorePosition",
     "StoreSource",
     "UpstreamView",
--- a/packages/entry/src/borageramp_entry/_internal/routed/app.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/app.py
@@ -6,6 +6,7 @@
 import socket
 from typing import Any
 
+from borageramp_core.routing import StopSchedule
 from borageramp_entry._internal.border.server import HttpServer
 from borageramp_entry._internal.logs import get_logger, to_ms
 from borageramp_entry._internal.routed.attempts import answer_buffers
@@ -63,7 +64,7 @@
         self._settings = platform.load_settings()
         self._clock = asyncio.get_running_loop().time
         self._rng = random.Random()
-        self._stops_at_s = float("inf")
+        self._requests_end_at_s = float("inf")
         self._config_received = asyncio.Event()
         self._background_tasks: list[asyncio.Task[Any]] = []
         self._internal_servers = InternalServers()
@@ -103,7 +104,7 @@
             fleet_state=self._sync.fleet_state,
             dispatcher=dispatcher,
             dialect=self._platform.callers,
-            stops_at_s=lambda: self._stops_at_s,
+            stops_at_s=lambda: self._requests_end_at_s,
             rng=self._rng,
             clock=self._clock,
             describe_knowledge=self._sync.describe_knowledge,
@@ -111,7 +112,7 @@
         self._forwarded_handler = ForwardedRequestHandler(
             fleet_state=self._sync.fleet_state,
             dispatcher=dispatcher,
-            stops_at_s=lambda: self._stops_at_s,
+            stops_at_s=lambda: self._requests_end_at_s,
             rng=self._rng,
             clock=self._clock,
             workspace_dialect=self._platform.callers,
@@ -195,7 +196,7 @@
 
     @property
     def _stopping(self) -> bool:
-        return self._stops_at_s < float("inf")
+        return self._requests_end_at_s < float("inf")
 
     @property
     def _requests_in_flight(self) -> int:
@@ -329,7 +330,9 @@
 
     async def _stop(self, caller_server: asyncio.Server) -> None:
         started_at_s = self._clock()
-        self._stops_at_s = started_at_s + self._settings.drain_s
+        schedule = StopSchedule.within(self._settings.stop_timeout_s)
+        self._requests_end_at_s = started_at_s + schedule.requests_end_s
+        answers_end_at_s = started_at_s + schedule.answers_end_s
         _log.info("stopping", in_flight=self._requests_in_flight)
         self._handler.on_stop()
         self._forwarded_handler.on_stop()
@@ -339,7 +342,7 @@
         # until those addresses expire.
         await asyncio.sleep(self._settings.leave_s)
         caller_server.close()
-        while self._is_busy() and self._clock() < self._stops_at_s:
+        while self._is_busy() and self._clock() < answers_end_at_s:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         cut_answers = self._server.abort_sending()
         cut_answers += self._internal_servers.abort_sending()
--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -42,8 +42,6 @@
 # A request that arrives during a shutdown is accepted if this multiple of its mean work
 # fits into the time left; upstreams slow down several times at any moment.
 STOP_WORK_RATIO = 8.0
-# Time before the end of a shutdown at which the last requests are answered.
-STOP_ANSWER_TIME_S = 0.1
 
 
 class CallerRequestHandler:
@@ -58,7 +56,7 @@
     dialect : CallerDialect
         Reads and writes the headers of callers.
     stops_at_s : callable
-        Returns the time at which this instance ends all requests to shut down;
+        Returns the time at which this instance gives up all requests to shut down;
         infinity while it isn't shutting down.
     rng : random.Random
         Random number generator.
@@ -110,7 +108,7 @@
     def on_stop(self) -> None:
         """Answer the requests under way before this instance ends them to shut down."""
         for timeout in self._timeouts:
-            timeout.reschedule(self._stops_at_s() - STOP_ANSWER_TIME_S)
+            timeout.reschedule(self._stops_at_s())
 
     async def dispatch(self, request: RoutedRequest) -> RoutedAnswer:
         """Dispatch a request, for no longer than this instance runs.
@@ -126,7 +124,7 @@
             share_class = fair_share_class(share_used, rng=self._rng)
             request = replace(request, share_class=share_class)
         # A stop that began meanwhile found no timeout to set.
-        ends_at_s = self._stops_at_s() - STOP_ANSWER_TIME_S
+        ends_at_s = self._stops_at_s()
         is_late = request.caller.deadline_s > ends_at_s
         timeout = asyncio.timeout_at(ends_at_s if is_late else None)
         self._timeouts.add(timeout)
@@ -218,14 +216,14 @@
         )
 
     def _limit_deadline(self, route: Route, deadline_s: float) -> float:
-        """Return a deadline that leaves time for an answer before a shutdown.
+        """Return a deadline that is no later than the last one of a shutdown.
 
         Raises
         ------
         RefusedError
             If a request of the route may well not end in what is left.
         """
-        latest_s = self._stops_at_s() - STOP_ANSWER_TIME_S
+        latest_s = self._stops_at_s()
         if deadline_s <= latest_s:
             return deadline_s
         work_s = self.dispatcher.pools.work_estimate(route).mean_s
--- a/packages/settings/src/borageramp_settings/_internal/routed.py
+++ b/packages/settings/src/borageramp_settings/_internal/routed.py
@@ -97,8 +97,8 @@
         Where metrics are read.
     directory_ttl_s : float
         How long callers may keep addresses.
-    drain_s : float
-        Time for a planned stop, before it is forced.
+    stop_timeout_s : float
+        Time from the start of a planned stop until the process is killed.
     leave_s : float
         Time after the start of a planned stop until callers have fresh
         addresses; new connections are taken until then.
@@ -141,7 +141,7 @@
     peer_address: HostPort | None = None
     metrics_address: HostPort | None = None
     directory_ttl_s: Positive = 2.0
-    drain_s: Positive = 5.0
+    stop_timeout_s: Positive = 6.0
     leave_s: Positive = 2.0
     absence_s: Positive = 6.0
     rejoin_s: Positive = 2.0
