--- a/tests/routed/test_planned_stop.py
+++ b/tests/routed/test_planned_stop.py
@@ -17,6 +17,7 @@
 )
 from tests.lib.forwarding import make_request
 from tests.lib.platform_store import FakeStore
+from tests.lib.routed import as_bytes, config_document
 
 BODY = bytes(i % 251 for i in range(800_000))
 # The entry accepts connections for a second after SIGTERM and has three for the rest.
@@ -168,3 +169,29 @@
             assert answer.startswith(b"HTTP/1.1 504 ")
 
     run_with_log(tmp_path, test, route_timeout_s=20.0)
+
+
+# Guards against requests that wait for an upstream, begin too late in a planned stop to
+# end, and can't be sent again, as they may have run.
+def test_a_request_that_waited_does_not_begin_too_late_to_end(tmp_path: Path) -> None:
+    async def test(
+        instance: EntryProcess, store: FakeStore, upstream: StubUpstream
+    ) -> None:
+        config = config_document(2, timeout_s=20, kind="unsafe", aim_s=15)
+        store.put("op/config", as_bytes(config))
+        await asyncio.sleep(1.5)
+        upstream.work_s = EXCUSED_AFTER_S
+        requests = [
+            asyncio.ensure_future(
+                instance.get(instance.front, "/r/x", method="POST", deadline_ms=20_000)
+            )
+            for _ in range(3 * REQUESTS)
+        ]
+        while upstream.begun < REQUESTS:
+            await asyncio.sleep(0.01)
+        instance.process.send_signal(signal.SIGTERM)
+        statuses = [(await request)[0] for request in requests]
+        assert statuses.count(200) >= REQUESTS
+        assert upstream.begun == statuses.count(200)
+
+    run_with_log(tmp_path, test)
