Drop an argument of the test process that no test uses

EntryProcess took the time of a planned stop as an argument; all tests use one. A comment and a docstring say what they mean without the margins that are gone.

--- a/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
+++ b/packages/entry/src/borageramp_entry/_internal/routed/caller_handler.py
@@ -216,7 +216,7 @@
         )
 
     def _limit_deadline(self, route: Route, deadline_s: float) -> float:
-        """Return a deadline that is no later than the last one of a shutdown.
+        """Return a deadline before which a shutdown gives up no request.
 
         Raises
         ------
--- a/tests/lib/entry_process.py
+++ b/tests/lib/entry_process.py
@@ -40,6 +40,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 WORK_S = 0.6
+# Time after SIGTERM at which the platform would kill an entry.
 GRACE_S = 4.0
 ROUTE_TIMEOUT_S = 3.0
 # Small segments and windows, as over a real network: on loopback, the system would
@@ -142,8 +143,6 @@
         Limits of its machine, as the platform names them.
     max_descriptors : int, optional
         Open descriptors that it may have; by default as many as this process.
-    grace_s : float
-        Time after SIGTERM at which the platform would kill it.
     """
 
     def __init__(
@@ -156,7 +155,6 @@
         root: Path = ROOT,
         limits: dict[str, Any] | None = None,
         max_descriptors: int | None = None,
-        grace_s: float = GRACE_S,
     ) -> None:
         self.name = name
         self.root = root
@@ -167,13 +165,12 @@
         self._store = store
         self._limits = limits or {}
         self._max_descriptors = max_descriptors
-        self._grace_s = grace_s
         self.write_boot(probes_per_s=60)
         self.client = HttpClient(idle_s=5.0, max_idle=4)
 
     def write_boot(self, *, probes_per_s: float) -> None:
         bounds = {
-            "grace_s": self._grace_s,
+            "grace_s": GRACE_S,
             "ttl_max_s": 0.5,
             "probes_per_s": probes_per_s,
         }
@@ -325,11 +322,7 @@
 
 
 def run_with_log(
-    folder: Path,
-    test: InstanceTest,
-    *,
-    route_timeout_s: float = ROUTE_TIMEOUT_S,
-    grace_s: float = GRACE_S,
+    folder: Path, test: InstanceTest, *, route_timeout_s: float = ROUTE_TIMEOUT_S
 ) -> list[dict[str, Any]]:
     """Run a test with an entry process; return the lines of its log."""
 
@@ -340,7 +333,7 @@
             store.put("op/config", as_bytes(config))
             address = upstream.address = f"127.0.0.1:{port}"
             store.put("servers/u1", as_bytes(upstream_document(address=address)))
-            instance = EntryProcess(store, folder, grace_s=grace_s)
+            instance = EntryProcess(store, folder)
             await instance.start()
             try:
                 async with asyncio.timeout(60):
--- a/tests/routed/test_planned_stop.py
+++ b/tests/routed/test_planned_stop.py
@@ -20,7 +20,7 @@
 from tests.lib.routed import as_bytes, config_document
 
 BODY = bytes(i % 251 for i in range(800_000))
-# The entry accepts connections for a second after SIGTERM and has three for the rest.
+# The entry accepts connections for a second after SIGTERM.
 CONNECTED_AFTER_S = 0.8
 # The answer takes a second and more at this pace.
 READ_PAUSE_S = 0.016
